--- /dev/null
+++ b/agent/main.go
@@ -0,0 +1,4 @@
+// Package main is the program agent.
+package main
+
+func main() {}
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,4 @@
+// Package main is the program bench.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/errors.go
@@ -0,0 +1,75 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Run tells whether a refused request was run.
+type Run string
+
+// The values of Run.
+const (
+	RunNo      Run = "no"
+	RunUnknown Run = "unknown"
+	RunYes     Run = "yes"
+)
+
+// Reason names why a request was refused or retried. Each reason has a counter.
+type Reason string
+
+// The reasons.
+const (
+	ReasonUnauthenticated    Reason = "unauthenticated"
+	ReasonNotFound           Reason = "not_found"
+	ReasonBadRequest         Reason = "bad_request"
+	ReasonTooLarge           Reason = "too_large"
+	ReasonRateLimited        Reason = "rate_limited"
+	ReasonQueueFull          Reason = "queue_full"
+	ReasonDeadline           Reason = "deadline"
+	ReasonNoUpstream         Reason = "no_upstream"
+	ReasonUpstreamBusy       Reason = "upstream_busy"
+	ReasonUpstreamOut        Reason = "upstream_out"
+	ReasonUpstreamLost       Reason = "upstream_lost"
+	ReasonUpstreamError      Reason = "upstream_error"
+	ReasonDraining           Reason = "draining"
+	ReasonIncarnation        Reason = "incarnation_mismatch"
+	ReasonTombstone          Reason = "tombstoned"
+	ReasonClaimConflict      Reason = "claim_conflict"
+	ReasonClaimPending       Reason = "claim_pending"
+	ReasonStoreUnavailable   Reason = "store_unavailable"
+	ReasonStaleToken         Reason = "stale_token"
+	ReasonCorruptAnswer      Reason = "corrupt_answer"
+	ReasonCanceled           Reason = "canceled"
+	ReasonRetryBudget        Reason = "retry_budget"
+	ReasonNotReady           Reason = "not_ready"
+	ReasonAnswerNotRecorded  Reason = "answer_not_recorded"
+	ReasonPeerUnauthorized   Reason = "peer_unauthorized"
+	ReasonOperatorUnverified Reason = "operator_unverified"
+)
+
+// Refusal is the typed error of a request that got no answer.
+type Refusal struct {
+	Reason     Reason
+	Message    string
+	Run        Run
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (run: %s): %s", r.Reason, r.Run, r.Message)
+}
+
+// Refuse returns a refusal of a request that was not run.
+func Refuse(reason Reason, message string) *Refusal {
+	return &Refusal{Reason: reason, Message: message, Run: RunNo}
+}
+
+// AsRefusal returns the refusal in err's chain, if there is one.
+func AsRefusal(err error) (*Refusal, bool) {
+	var r *Refusal
+	ok := errors.As(err, &r)
+	return r, ok
+}
--- /dev/null
+++ b/core/process/clock/doc.go
@@ -0,0 +1,3 @@
+// Package clock implements core.Clock: Real reads the machine's clock and
+// Manual is moved by tests.
+package clock
--- /dev/null
+++ b/core/process/meter/meter.go
@@ -0,0 +1,33 @@
+// Package meter holds the counters that a program publishes with expvar. Each
+// refusal reason, retry reason and event has a counter of its own. Counters
+// are process-wide, as expvar is.
+package meter
+
+import (
+	"expvar"
+
+	"parsleyroute.example/core"
+)
+
+// The published maps. A key is added with its first count.
+var (
+	refusals = expvar.NewMap("refusals")
+	retries  = expvar.NewMap("retries")
+	events   = expvar.NewMap("events")
+	gauges   = expvar.NewMap("gauges")
+)
+
+// Refusal counts one refused request.
+func Refusal(reason core.Reason) { refusals.Add(string(reason), 1) }
+
+// Retry counts one retry and its cause.
+func Retry(reason core.Reason) { retries.Add(string(reason), 1) }
+
+// Event counts one event, such as a dropped frame.
+func Event(name string) { events.Add(name, 1) }
+
+// Events adds n events, such as bytes sent.
+func Events(name string, n int64) { events.Add(name, n) }
+
+// Gauge publishes a value that is computed when it is read.
+func Gauge(name string, f func() any) { gauges.Set(name, expvar.Func(f)) }
--- /dev/null
+++ b/core/request/frame/writer.go
@@ -0,0 +1,89 @@
+package frame
+
+import (
+	"bufio"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"parsleyroute.example/core/wire"
+)
+
+// Writer writes the frames of one attempt's answer. It is safe for concurrent
+// use, so that pings can be sent while the answer is written.
+type Writer struct {
+	mu      sync.Mutex
+	w       *bufio.Writer
+	attempt *wire.Attempt
+	load    func() *wire.Load
+	seq     uint64
+	length  uint64
+	sum     *xxhash.Digest
+}
+
+// NewWriter returns a Writer. load gives the report that goes with heads,
+// tails, refusals and pings; it may be nil.
+func NewWriter(w *bufio.Writer, attempt *wire.Attempt, load func() *wire.Load) *Writer {
+	return &Writer{w: w, attempt: attempt, load: load, sum: xxhash.New()}
+}
+
+// Head writes the answer's status and headers.
+func (w *Writer) Head(head *wire.Head) error {
+	return w.write(&wire.Frame{Kind: &wire.Frame_Head{Head: head}})
+}
+
+// Data writes a part of the body.
+func (w *Writer) Data(p []byte) error {
+	return w.write(&wire.Frame{Kind: &wire.Frame_Data{Data: p}})
+}
+
+// Skip accounts for bytes that the caller has already got before a resumed
+// stream.
+func (w *Writer) Skip(p []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.length += uint64(len(p))
+	_, _ = w.sum.Write(p)
+}
+
+// Tail ends a whole answer.
+func (w *Writer) Tail() error {
+	w.mu.Lock()
+	tail := &wire.Tail{Length: w.length, Xxhash: w.sum.Sum64()}
+	w.mu.Unlock()
+	return w.write(&wire.Frame{Kind: &wire.Frame_Tail{Tail: tail}})
+}
+
+// Refusal ends an answer that is not whole.
+func (w *Writer) Refusal(refusal *wire.Refusal) error {
+	return w.write(&wire.Frame{Kind: &wire.Frame_Refusal{Refusal: refusal}})
+}
+
+// Ping shows that the agent is alive.
+func (w *Writer) Ping() error {
+	return w.write(&wire.Frame{Kind: &wire.Frame_Ping{Ping: &wire.Ping{}}})
+}
+
+func (w *Writer) write(f *wire.Frame) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f.RequestId = w.attempt.GetRequestId()
+	f.Attempt = w.attempt.GetNumber()
+	f.Sequence = w.seq
+	w.seq++
+	if d, ok := f.Kind.(*wire.Frame_Data); ok {
+		w.length += uint64(len(d.Data))
+		_, _ = w.sum.Write(d.Data)
+	} else if w.load != nil {
+		f.Load = w.load()
+	}
+	if _, err := protodelim.MarshalTo(w.w, f); err != nil {
+		return trace.ConnectionProblem(err, "write frame")
+	}
+	if err := w.w.Flush(); err != nil {
+		return trace.ConnectionProblem(err, "flush frame")
+	}
+	return nil
+}
--- /dev/null
+++ b/core/store.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"context"
+	"time"
+)
+
+// Kind names a class of objects in the store.
+type Kind string
+
+// The kinds of declarations.
+const (
+	KindService  Kind = "service"
+	KindUpstream Kind = "upstream"
+	KindZone     Kind = "zone"
+	KindTeam     Kind = "team"
+	KindRule     Kind = "rule"
+)
+
+// The kinds of the system's own objects.
+const (
+	// KindClaim holds wire.Claim values, one for each non-idempotent request.
+	KindClaim Kind = "claim"
+	// KindLease holds leases, one for each group's controller.
+	KindLease Kind = "lease"
+	// KindMap holds the last committed expert map of each group.
+	KindMap Kind = "map"
+	// KindRoster is the instance list as one object. It is never in the store.
+	KindRoster Kind = "roster"
+)
+
+// DeclarationKinds lists the kinds that operators write, in the order in which
+// they are applied.
+var DeclarationKinds = []Kind{KindZone, KindService, KindUpstream, KindTeam, KindRule}
+
+// Key identifies an object.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// Object is a versioned object. Version is the store-wide revision of the
+// write that made it. A tombstone has Deleted set and no Value.
+type Object struct {
+	Key
+	Version uint64
+	// Writer and Nonce identify the write, so that a writer whose answer was
+	// lost can tell whether its write took effect.
+	Writer  string
+	Nonce   string
+	Value   []byte
+	Deleted bool
+	// DeletedAt is the time of deletion; zero for live objects.
+	DeletedAt time.Time
+}
+
+// Store is the platform's object API.
+//
+// Its errors are trace.NotFound, trace.AlreadyExists (Create of an existing
+// object), trace.CompareFailed (version mismatch), trace.LimitExceeded (rate
+// limit), trace.BadParameter and trace.ConnectionProblem. After a
+// trace.ConnectionProblem the write may have taken effect.
+type Store interface {
+	// Get returns the live object.
+	Get(ctx context.Context, key Key) (Object, error)
+	// List returns the live objects of the kinds and the revision at which the
+	// list was complete.
+	List(ctx context.Context, kinds ...Kind) ([]Object, uint64, error)
+	// Create writes an object that must not exist; obj.Version is ignored.
+	Create(ctx context.Context, obj Object) (Object, error)
+	// Update replaces the object if its version is still obj.Version.
+	Update(ctx context.Context, obj Object) (Object, error)
+	// Delete removes the object if its version is still obj.Version, and
+	// returns the tombstone.
+	Delete(ctx context.Context, obj Object) (Object, error)
+	// Watch waits for changes of the kinds after revision from, and returns
+	// them in order of version. An empty answer means that none came in time.
+	Watch(ctx context.Context, from uint64, kinds ...Kind) ([]Object, error)
+}
+
+// Lister reads the platform's lagging list of instances.
+type Lister interface {
+	// Instances returns the list and its revision.
+	Instances(ctx context.Context) ([]Instance, uint64, error)
+}
+
+// Clock tells the time and makes timers. Tests use a manual clock.
+type Clock interface {
+	Now() time.Time
+	// After returns a channel that receives once d has passed.
+	After(d time.Duration) <-chan time.Time
+	// Sleep returns after d, or with the context's error before.
+	Sleep(ctx context.Context, d time.Duration) error
+}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Package main is the program entry.
+package main
+
+func main() {}
--- /dev/null
+++ b/fakes/main.go
@@ -0,0 +1,4 @@
+// Package main is the program fakes.
+package main
+
+func main() {}
--- /dev/null
+++ b/parsley/main.go
@@ -0,0 +1,4 @@
+// Package main is the program parsley.
+package main
+
+func main() {}
