--- /dev/null
+++ b/core/conn/links/doc.go
@@ -0,0 +1,8 @@
+// Package links holds an entry's connections to agents. A Link keeps what the
+// entry knows about one agent: its own requests in flight, the last load
+// report, and whether the agent is lost.
+//
+// An agent counts as lost after a failed connection or 2 s of silence on a
+// stream. A lost agent is tried again after a pause that doubles with each
+// failure.
+package links
--- a/core/request/frame/reader.go
+++ b/core/request/frame/reader.go
@@ -38,14 +38,6 @@
 	return &Reader{r: bufio.NewReaderSize(r, 16<<10), requestID: requestID, attempt: attempt, sum: xxhash.New()}
 }
 
-// Resume accounts for bytes of the answer that were read by an earlier Reader,
-// given the state of its check sum.
-func (r *Reader) Resume(earlier *Reader) {
-	r.length = earlier.length
-	sum := *earlier.sum
-	r.sum = &sum
-}
-
 // Length returns the number of body bytes read so far.
 func (r *Reader) Length() uint64 { return r.length }
 
--- a/core/request/frame/writer.go
+++ b/core/request/frame/writer.go
@@ -39,15 +39,6 @@
 	return w.write(&wire.Frame{Kind: &wire.Frame_Data{Data: p}})
 }
 
-// Skip accounts for bytes that the caller has already got before a resumed
-// stream.
-func (w *Writer) Skip(p []byte) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.length += uint64(len(p))
-	_, _ = w.sum.Write(p)
-}
-
 // Tail ends a whole answer.
 func (w *Writer) Tail() error {
 	w.mu.Lock()
--- /dev/null
+++ b/entry/flow/router.go
@@ -0,0 +1,216 @@
+package flow
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/links"
+	"parsleyroute.example/core/conn/pool"
+	"parsleyroute.example/core/process/meter"
+	"parsleyroute.example/core/request/admit"
+	"parsleyroute.example/core/request/picker"
+	"parsleyroute.example/core/request/retry"
+)
+
+const (
+	// maxAttempts bounds the dispatches of a request that upstreams failed.
+	maxAttempts = 3
+	// maxRefused bounds the dispatches of a request that agents refused. Such a
+	// refusal costs no upstream work, so it takes no retry budget.
+	maxRefused = 16
+	// grantPeriod is the time between checks for credit that grows with time
+	// alone.
+	grantPeriod = 20 * time.Millisecond
+	// refusedPause keeps a request whose dispatch was refused from asking the
+	// same full agents again at once.
+	refusedPause = 5 * time.Millisecond
+)
+
+// Router takes requests to upstreams. Exported fields are set before Run.
+type Router struct {
+	Self    core.Instance
+	Clock   core.Clock
+	Table   func() *core.Table
+	Links   *pool.Keyed[netip.AddrPort, *links.Link]
+	Picker  core.Picker
+	Limiter *admit.Limiter
+	Budgets *retry.Budgets
+	// Subset is the number of upstreams used for each service; zero means
+	// picker.DefaultSubset.
+	Subset int
+	Logger log.Logger
+	Claims Claims
+
+	journal Journal
+	mu      sync.Mutex
+	queues  map[string]*admit.Queue
+	subsets map[string]subset
+}
+
+// subset caches the upstreams that the entry uses for a service at one version
+// of the table.
+type subset struct {
+	state     *core.ServiceState
+	upstreams []*core.UpstreamState
+}
+
+// Run grants queued requests credit that appears with time, until ctx ends.
+func (r *Router) Run(ctx context.Context) error {
+	for {
+		if err := r.Clock.Sleep(ctx, grantPeriod); err != nil {
+			return nil
+		}
+		for _, q := range r.allQueues() {
+			q.Grant()
+		}
+	}
+}
+
+func (r *Router) allQueues() []*admit.Queue {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*admit.Queue, 0, len(r.queues))
+	for _, q := range r.queues {
+		out = append(out, q)
+	}
+	return out
+}
+
+// Queued returns the number of requests that wait for capacity.
+func (r *Router) Queued() int {
+	n := 0
+	for _, q := range r.allQueues() {
+		n += q.Len()
+	}
+	return n
+}
+
+func (r *Router) queue(s *core.ServiceState) *admit.Queue {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.queues == nil {
+		r.queues = map[string]*admit.Queue{}
+	}
+	q := r.queues[s.Name]
+	if q == nil {
+		q = &admit.Queue{Clock: r.Clock, Length: s.Queue}
+		r.queues[s.Name] = q
+	}
+	return q
+}
+
+// upstreams returns the entry's subset of the service's upstreams.
+func (r *Router) upstreams(s *core.ServiceState) []*core.UpstreamState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c, ok := r.subsets[s.Name]; ok && c.state == s {
+		return c.upstreams
+	}
+	if r.subsets == nil {
+		r.subsets = map[string]subset{}
+	}
+	chosen := picker.Subset(s.Name, r.Self.Name, r.Self.Zone, usable(s), r.Subset)
+	r.subsets[s.Name] = subset{state: s, upstreams: chosen}
+	return chosen
+}
+
+// usable leaves out upstreams that operators have taken out, so that they do
+// not use up places of the subset.
+func usable(s *core.ServiceState) []*core.UpstreamState {
+	var out []*core.UpstreamState
+	for _, u := range s.Upstreams {
+		if !u.Out && (s.Routed == nil || s.Routed[u.Name]) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// Apply takes a new table: limits, budgets and queue lengths.
+func (r *Router) Apply(t *core.Table, entries int) {
+	r.Limiter.Update(t, entries)
+	r.Budgets.Update(t)
+	agents := map[netip.AddrPort]bool{}
+	for _, u := range t.Upstream {
+		agents[u.Agent] = true
+	}
+	r.Links.Retain(func(a netip.AddrPort) bool { return agents[a] })
+	r.mu.Lock()
+	for name, q := range r.queues {
+		if s := t.Services[name]; s != nil && s.Queue > 0 {
+			q.SetLength(s.Queue)
+		}
+	}
+	r.mu.Unlock()
+}
+
+// place is an upstream with a reserved unit of the entry's credit.
+type place struct {
+	upstream   *core.UpstreamState
+	link       *links.Link
+	release    func()
+	candidates int
+}
+
+// pick chooses among the upstreams that the request may use and reserves. It
+// returns nil if none has credit.
+func (r *Router) pick(t *trip) *place {
+	// The latest table decides, not the one at the request's arrival: a zone
+	// may have been taken out while the request waited.
+	s := r.Table().Services[t.req.Service.Name]
+	if s == nil {
+		return nil
+	}
+	ups := r.upstreams(s)
+	candidates := make([]core.Candidate, 0, len(ups))
+	chosen := make([]*core.UpstreamState, 0, len(ups))
+	for _, u := range ups {
+		l := r.Links.Get(u.Agent)
+		if t.avoid[u.Name] || l.Lost() || t.req.Team.Routed != nil && !t.req.Team.Routed[u.Name] {
+			continue
+		}
+		candidates = append(candidates, core.Candidate{
+			Name: u.Name, Zone: u.Zone, Limit: u.Limit, Own: l.Inflight(), Load: l.Load(),
+		})
+		chosen = append(chosen, u)
+	}
+	i := r.Picker.Pick(r.Clock.Now(), candidates)
+	if i < 0 {
+		return nil
+	}
+	l := r.Links.Get(chosen[i].Agent)
+	return &place{upstream: chosen[i], link: l, release: l.Reserve(), candidates: len(candidates)}
+}
+
+// take waits for a place.
+func (r *Router) take(ctx context.Context, t *trip) (*place, error) {
+	var p *place
+	q := r.queue(t.req.Service)
+	t.item.Use = func() bool {
+		p = r.pick(t)
+		return p != nil
+	}
+	start := r.Clock.Now()
+	if err := q.Wait(ctx, t.item); err != nil {
+		return nil, err
+	}
+	free := p.release
+	p.release = func() { free(); q.Grant() }
+	r.journal.update(t.record, func(rec *Record) {
+		rec.Attempts = append(rec.Attempts, Attempt{
+			Number: t.attempt + 1, Upstream: p.upstream.Name, Zone: p.upstream.Zone,
+			Candidates: p.candidates, Waited: r.Clock.Now().Sub(start).String(),
+		})
+	})
+	return p, nil
+}
+
+// Gauges publishes the router's state.
+func (r *Router) Gauges() {
+	meter.Gauge("queued", func() any { return r.Queued() })
+}
--- /dev/null
+++ b/entry/front/errors.go
@@ -0,0 +1,93 @@
+package front
+
+import (
+	"errors"
+	"math"
+	"strconv"
+
+	"github.com/gofiber/fiber/v3"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/meter"
+)
+
+// statuses maps reasons to HTTP status codes; other reasons are 503.
+var statuses = map[core.Reason]int{
+	core.ReasonUnauthenticated:   fiber.StatusUnauthorized,
+	core.ReasonNotFound:          fiber.StatusNotFound,
+	core.ReasonBadRequest:        fiber.StatusBadRequest,
+	core.ReasonTooLarge:          fiber.StatusRequestEntityTooLarge,
+	core.ReasonRateLimited:       fiber.StatusTooManyRequests,
+	core.ReasonDeadline:          fiber.StatusGatewayTimeout,
+	core.ReasonClaimConflict:     fiber.StatusConflict,
+	core.ReasonClaimPending:      fiber.StatusConflict,
+	core.ReasonAnswerNotRecorded: fiber.StatusConflict,
+	core.ReasonUpstreamError:     fiber.StatusBadGateway,
+	core.ReasonUpstreamLost:      fiber.StatusBadGateway,
+	core.ReasonCorruptAnswer:     fiber.StatusBadGateway,
+	core.ReasonIncarnation:       fiber.StatusBadGateway,
+}
+
+// errorBody is the JSON of a refusal.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Reason     core.Reason `json:"reason"`
+	Message    string      `json:"message"`
+	Run        core.Run    `json:"run"`
+	RequestID  string      `json:"request_id"`
+	RetryAfter int64       `json:"retry_after_ms,omitempty"`
+}
+
+func detail(id string, r *core.Refusal) errorBody {
+	return errorBody{Error: errorDetail{
+		Reason: r.Reason, Message: r.Message, Run: r.Run,
+		RequestID: id, RetryAfter: r.RetryAfter.Milliseconds(),
+	}}
+}
+
+// asRefusal gives every failure a type. A failure of unknown kind is never
+// reported as not run.
+func asRefusal(err error) *core.Refusal {
+	if r, ok := core.AsRefusal(err); ok {
+		return r
+	}
+	return &core.Refusal{Reason: core.ReasonUpstreamError, Message: "the request failed", Run: core.RunUnknown}
+}
+
+func status(r *core.Refusal) int {
+	if s, ok := statuses[r.Reason]; ok {
+		return s
+	}
+	return fiber.StatusServiceUnavailable
+}
+
+// refuse answers with a refusal and counts it.
+func refuse(c fiber.Ctx, id string, err error) error {
+	r := asRefusal(err)
+	meter.Refusal(r.Reason)
+	code := status(r)
+	if code == fiber.StatusTooManyRequests || code == fiber.StatusServiceUnavailable {
+		seconds := max(1, int(math.Ceil(r.RetryAfter.Seconds())))
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	return c.Status(code).JSON(detail(id, r))
+}
+
+// protocolError answers requests that fiber itself refuses, such as bodies
+// over the limit.
+func protocolError(c fiber.Ctx, err error) error {
+	reason := core.ReasonBadRequest
+	var fe *fiber.Error
+	if errors.As(err, &fe) {
+		switch fe.Code {
+		case fiber.StatusRequestEntityTooLarge:
+			reason = core.ReasonTooLarge
+		case fiber.StatusNotFound, fiber.StatusMethodNotAllowed:
+			reason = core.ReasonNotFound
+		}
+	}
+	return refuse(c, "", core.Refuse(reason, err.Error()))
+}
