Add strict TOML declarations

Every fault names file, line and key. The value of a store object is the text of a file with one declaration. Names of zones, services, upstreams and teams must also be label values, because a zone that no selector can name could not be taken out.

--- /dev/null
+++ b/core/version/decl/decl_test.go
@@ -0,0 +1,173 @@
+package decl_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/gravitational/trace"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/version/decl"
+)
+
+func TestDecl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "decl")
+}
+
+const whole = `
+[[rule]]
+name = "medina-out"
+kind = "zone"
+selector = "name = dakar-medina"
+out = true
+
+[[upstream]]
+name = "desk-1"
+service = "order-desk"
+zone = "dakar-medina"
+agent = "127.0.0.1:7101"
+limit = 8
+cold = 2
+step = 4
+labels = { tier = "gold" }
+
+[[service]]
+name = "order-desk"
+timeout = "5s"
+queue = 100
+retry = 0.1
+routes = [
+  { prefix = "/orders", method = "POST", repeatable = false },
+  { prefix = "/lookups", repeatable = true },
+]
+
+[[zone]]
+name = "dakar-medina"
+region = "dakar"
+
+[[team]]
+name = "signs"
+rate = 5
+weight = 2.5
+`
+
+var _ = Describe("Parse", func() {
+	// Guards against files whose order decides the order of application.
+	It("returns the declarations by kind", func() {
+		ds, err := decl.Parse("a.toml", []byte(whole))
+		Expect(err).NotTo(HaveOccurred())
+		var kinds []core.Kind
+		for _, d := range ds {
+			kinds = append(kinds, d.Key().Kind)
+		}
+		Expect(kinds).To(Equal(core.DeclarationKinds))
+		Expect(decl.CheckSet(ds)).To(BeEmpty())
+	})
+
+	// Guards against values that change when they are read and written again.
+	It("reads back what Marshal writes", func() {
+		ds, err := decl.Parse("a.toml", []byte(whole))
+		Expect(err).NotTo(HaveOccurred())
+		for _, d := range ds {
+			value, err := decl.Marshal(d)
+			Expect(err).NotTo(HaveOccurred())
+			got, err := decl.Unmarshal(d.Key(), value)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got).To(Equal(d))
+			Expect(decl.Diff(got, d)).To(BeEmpty())
+			_, err = decl.Unmarshal(core.Key{Kind: d.Key().Kind, Name: "other"}, value)
+			Expect(trace.IsBadParameter(err)).To(BeTrue())
+		}
+	})
+
+	// Guards against faults that an operator cannot find in a long file.
+	DescribeTable("names file, line and key of a fault",
+		func(text, where string) {
+			_, err := decl.Parse("a.toml", []byte(text))
+			Expect(trace.IsBadParameter(err)).To(BeTrue(), "%v", err)
+			Expect(err.Error()).To(HavePrefix(where))
+		},
+		Entry("unknown key", "[[zone]]\nname=\"a\"\nregoin=\"b\"", `a.toml:3: unknown key "zone.regoin"`),
+		Entry("unknown kind", "[[zones]]\nname=\"a\"", `a.toml:1: unknown key "zones`),
+		Entry("wrong type", "[[team]]\nname=\"a\"\nrate=\"5\"", `a.toml:3: key "team.rate"`),
+		Entry("wrong unit", "[[service]]\nname=\"a\"\ntimeout=\"5 apples\"", `a.toml:3: key "service.timeout"`),
+		Entry("timeout without unit", "[[service]]\nname=\"a\"\n\ntimeout=5", `a.toml:4: key "service.timeout"`),
+		Entry("not a number", "[[team]]\nname=\"a\"\nrate=nan", `a.toml:3: key "team.rate"`),
+		Entry("missing name", "[[zone]]\nname=\"a\"\n[[zone]]\nregion=\"b\"", `a.toml:3: key "zone.name"`),
+		Entry("bad name", "[[zone]]\nname=\"a b\"", `a.toml:2: key "zone.name"`),
+		Entry("long name", "[[rule]]\nname=\""+strings.Repeat("a", 129)+"\"", `a.toml:2: key "rule.name"`),
+		Entry("duplicate", "[[zone]]\nname=\"a\"\n[[zone]]\nname=\"a\"", `a.toml:4: key "zone.name"`),
+		Entry("implied label", "[[zone]]\nname=\"a\"\n[zone.labels]\nname=\"b\"", `a.toml:3: key "zone.labels"`),
+		Entry("second action", "[[rule]]\nname=\"a\"\nkind=\"zone\"\nselector=\"name=b\"\nout=true\nadmit=0.5",
+			`a.toml:2: key "rule.name"`),
+		Entry("no selector", "[[rule]]\nname=\"a\"\nkind=\"zone\"\nout=true", `a.toml:1: key "rule.selector"`),
+		Entry("bad selector", "[[rule]]\nname=\"a\"\nkind=\"zone\"\nselector=\"a in (\"\nout=true",
+			`a.toml:4: key "rule.selector"`),
+		Entry("wrong kind", "[[rule]]\nname=\"a\"\nkind=\"team\"\nselector=\"name\"\nout=true", `a.toml:3: key "rule.kind"`),
+		Entry("route without repeatable", "[[service]]\nname=\"a\"\n[[service.routes]]\nprefix=\"/\"",
+			`a.toml:3: key "service.routes"`),
+	)
+
+	// Guards against sets that parse but cannot work.
+	It("finds faults between declarations", func() {
+		ds, err := decl.Parse("a.toml", []byte(`
+[[upstream]]
+name = "a"
+service = "s"
+zone = "z"
+agent = "127.0.0.1:7101"
+limit = 1
+[[upstream]]
+name = "b"
+service = "s"
+zone = "z"
+agent = "127.0.0.1:7101"
+limit = 1
+[[zone]]
+name = "z"
+`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decl.CheckSet(ds)).To(HaveLen(3))
+	})
+
+	// Guards against conflict messages that name too much or too little.
+	It("names the fields that differ", func() {
+		a := decl.Zone{Zone: core.Zone{Name: "a", Region: "r", Labels: core.Labels{"x": "1", "y": "1"}}}
+		b := decl.Zone{Zone: core.Zone{Name: "a", Labels: core.Labels{"x": "2", "y": "1"}}}
+		Expect(decl.Diff(a, b)).To(Equal([]string{"labels.x", "region"}))
+		Expect(decl.Diff(nil, b)).To(Equal([]string{"labels.x", "labels.y", "name"}))
+	})
+})
+
+// FuzzParse guards against panics, and against accepted declarations that do
+// not survive a round trip through the store.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(whole))
+	f.Add([]byte("zone = [{name = \"a\"}]"))
+	f.Add([]byte("[[team]]\nname=\"a\"\nrate=inf"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		ds, err := decl.Parse("f", data)
+		if err != nil {
+			if !trace.IsBadParameter(err) {
+				t.Fatalf("error %v is not a BadParameter", err)
+			}
+			return
+		}
+		for _, d := range ds {
+			value, err := decl.Marshal(d)
+			if err != nil {
+				t.Fatalf("%v: %v", d.Key(), err)
+			}
+			got, err := decl.Unmarshal(d.Key(), value)
+			if err != nil {
+				t.Fatalf("%v: %v in %s", d.Key(), err, value)
+			}
+			if n := decl.Diff(d, got); len(n) != 0 {
+				t.Fatalf("%v: %v differ in %s", d.Key(), n, value)
+			}
+		}
+	})
+}
