Add the platform stand-in, its adapters and the store suite

The memory store backs the HTTP server, so that both run through the same suite. Client retries are off, because a write must not be sent twice.

--- /dev/null
+++ b/fakes/process/objsrv/control.go
@@ -0,0 +1,54 @@
+package objsrv
+
+import (
+	"github.com/gofiber/fiber/v3"
+	"github.com/gravitational/trace"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/objapi"
+	"parsleyroute.example/fakes/process/serve"
+)
+
+func (s *Server) controls(app *fiber.App) {
+	app.Get("/control/faults", func(c fiber.Ctx) error {
+		f, _ := s.Get()
+		return c.JSON(f)
+	})
+	// Keys that the body leaves out keep their value.
+	app.Put("/control/faults", func(c fiber.Ctx) error {
+		f, _ := s.Get()
+		if err := serve.Body(c, &f); err != nil {
+			return err
+		}
+		if err := s.Set(f); err != nil {
+			return err
+		}
+		return c.JSON(f)
+	})
+	app.Get("/control/stats", func(c fiber.Ctx) error {
+		_, st := s.Get()
+		return c.JSON(st)
+	})
+	app.Post("/control/compact", func(c fiber.Ctx) error {
+		s.store.Compact()
+		return c.JSON(struct{}{})
+	})
+	app.Put("/control/instances", func(c fiber.Ctx) error {
+		var in objapi.Instance
+		if err := serve.Body(c, &in); err != nil {
+			return err
+		}
+		if in.Name == "" || !in.Peer.IsValid() {
+			return trace.BadParameter("an instance needs a name and a peer address")
+		}
+		s.lister.Put(core.Instance(in))
+		return c.JSON(in)
+	})
+	app.Delete("/control/instances", func(c fiber.Ctx) error {
+		if c.Query("name") == "" {
+			return trace.BadParameter("the query needs the instance's name")
+		}
+		s.lister.Remove(c.Query("name"))
+		return c.JSON(struct{}{})
+	})
+}
--- /dev/null
+++ b/fakes/process/objsrv/objsrv_test.go
@@ -0,0 +1,136 @@
+package objsrv_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/objapi"
+	"parsleyroute.example/core/suite"
+	_ "parsleyroute.example/core/suite/seed"
+	"parsleyroute.example/fakes/process/objsrv"
+)
+
+func TestPlatform(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "platform")
+}
+
+func start(f objsrv.Faults) (*objsrv.Server, *objapi.Store) {
+	GinkgoHelper()
+	srv := &objsrv.Server{Faults: f}
+	Expect(srv.Start()).To(Succeed())
+	DeferCleanup(srv.Close)
+	return srv, &objapi.Store{Addr: srv.Addr(), Wait: 100 * time.Millisecond, Timeout: 500 * time.Millisecond}
+}
+
+var _ = suite.Store("Store over HTTP", func() core.Store {
+	_, s := start(objsrv.Faults{})
+	s.Timeout = 5 * time.Second
+	return s
+})
+
+var _ = Describe("Faults", func() {
+	ctx := context.Background()
+	obj := core.Object{Key: core.Key{Kind: core.KindTeam, Name: "a"}, Nonce: "n"}
+
+	// Guards against an adapter that repeats a write whose answer was lost:
+	// the repeat would report a conflict with the caller's own write.
+	It("loses the answer of a write that takes effect", func() {
+		srv, s := start(objsrv.Faults{LoseAnswers: 1, LoseKind: core.KindTeam})
+		_, err := s.Create(ctx, core.Object{Key: core.Key{Kind: core.KindZone, Name: "z"}})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.Create(ctx, obj)
+		Expect(trace.IsConnectionProblem(err)).To(BeTrue(), "%v", err)
+		got, err := s.Get(ctx, obj.Key)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Nonce).To(Equal("n"))
+		_, st := srv.Get()
+		Expect(st.Writes).To(Equal(2))
+		Expect(st.Lost).To(Equal(1))
+	})
+
+	// Guards against refusals by the rate limit that look like outages.
+	It("limits writes and reads apart", func() {
+		_, s := start(objsrv.Faults{WriteRate: 0.001})
+		_, err := s.Create(ctx, obj)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.Create(ctx, obj)
+		Expect(trace.IsLimitExceeded(err)).To(BeTrue(), "%v", err)
+		_, err = s.Get(ctx, obj.Key)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against calls, waiting watches among them, that outlast an
+	// outage unnoticed.
+	It("refuses calls and ends watches in an outage", func() {
+		srv, s := start(objsrv.Faults{})
+		s.Wait = 10 * time.Second
+		failed := make(chan error, 1)
+		go func() {
+			_, err := s.Watch(ctx, 0, core.KindTeam)
+			failed <- err
+		}()
+		Eventually(func() int { _, st := srv.Get(); return st.Waiting }, "2s").Should(Equal(1))
+		Expect(srv.Set(objsrv.Faults{Outage: true})).To(Succeed())
+		var err error
+		Eventually(failed, "2s").Should(Receive(&err))
+		Expect(trace.IsConnectionProblem(err)).To(BeTrue(), "%v", err)
+		_, err = s.Get(ctx, obj.Key)
+		Expect(trace.IsConnectionProblem(err)).To(BeTrue(), "%v", err)
+		Expect(srv.Set(objsrv.Faults{Hang: true})).To(Succeed())
+		_, err = s.Create(ctx, obj)
+		Expect(trace.IsConnectionProblem(err)).To(BeTrue(), "%v", err)
+		Expect(srv.Set(objsrv.Faults{})).To(Succeed())
+		_, _, err = s.List(ctx, core.KindTeam)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against fetches that overtake the weight store's rate.
+	It("makes fetches wait their turn", func() {
+		srv, _ := start(objsrv.Faults{WeightRate: 20})
+		w := &objapi.Weights{Addr: srv.Addr()}
+		begin := time.Now()
+		for i := range 4 {
+			Expect(w.Fetch(ctx, "g", 0, 0, uint32(i))).To(Succeed())
+		}
+		Expect(time.Since(begin)).To(BeNumerically(">=", 140*time.Millisecond))
+	})
+
+	// Guards against control calls whose typing errors pass unnoticed.
+	It("is controlled over HTTP", func() {
+		srv, s := start(objsrv.Faults{})
+		Expect(put(srv.Addr(), "/control/faults", `{"outage":true}`)).To(Equal(200))
+		Expect(put(srv.Addr(), "/control/faults", `{"delay_ms":1}`)).To(Equal(200))
+		_, err := s.Get(ctx, obj.Key)
+		Expect(trace.IsConnectionProblem(err)).To(BeTrue(), "%v", err)
+		Expect(put(srv.Addr(), "/control/faults", `{"outtage":true}`)).To(Equal(400))
+		Expect(put(srv.Addr(), "/control/faults", `{"delay_ms":-1}`)).To(Equal(400))
+		Expect(put(srv.Addr(), "/control/instances", `{"name":"e","role":"entry","zone":"a","peer":"127.0.0.1:7","leaving":true}`)).To(Equal(200))
+		Expect(put(srv.Addr(), "/control/instances", `{"name":"e"}`)).To(Equal(400))
+		l := &objapi.Lister{Addr: srv.Addr()}
+		list, revision, err := l.Instances(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(revision).To(BeEquivalentTo(1))
+		Expect(list).To(Equal([]core.Instance{{Name: "e", Role: core.RoleEntry, Zone: "a", Peer: netip.MustParseAddrPort("127.0.0.1:7"), Leaving: true}}))
+		Expect((&objsrv.Server{Listen: netip.MustParseAddrPort("0.0.0.0:0")}).Start()).To(Satisfy(trace.IsBadParameter))
+	})
+})
+
+func put(addr netip.AddrPort, path, body string) int {
+	GinkgoHelper()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI(fmt.Sprintf("http://%s%s", addr, path))
+	req.Header.SetMethod("PUT")
+	req.SetBodyString(body)
+	Expect(fasthttp.DoTimeout(req, resp, 2*time.Second)).To(Succeed())
+	return resp.StatusCode()
+}
--- /dev/null
+++ b/fakes/process/serve/doc.go
@@ -0,0 +1,3 @@
+// Package serve runs the HTTP servers of the stand-ins: loopback addresses
+// only, strict JSON bodies, and typed JSON errors.
+package serve
