--- /dev/null
+++ b/core/request/picker/picker_test.go
@@ -0,0 +1,195 @@
+package picker_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/request/picker"
+	_ "parsleyroute.example/core/suite/seed"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestPicker(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "picker")
+}
+
+func intN() func(int) int { return rand.New(rand.NewPCG(1, 2)).IntN }
+
+// pickers returns every implementation of core.Picker.
+func pickers(n func(int) int) map[string]core.Picker {
+	return map[string]core.Picker{
+		"two choices":          &picker.TwoChoices{Zone: "a", IntN: n},
+		"two choices, no zone": &picker.TwoChoices{IntN: n},
+		"round robin":          &picker.RoundRobin{},
+		"random":               &picker.Random{IntN: n},
+		"least loaded":         &picker.LeastLoaded{IntN: n},
+	}
+}
+
+func drawCandidate(t *rapid.T) core.Candidate {
+	c := core.Candidate{
+		Zone:     rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
+		Limit:    rapid.IntRange(0, 8).Draw(t, "limit"),
+		Own:      rapid.IntRange(0, 4).Draw(t, "own"),
+		Affinity: rapid.Float64Range(0, 1).Draw(t, "affinity"),
+	}
+	if rapid.Bool().Draw(t, "reported") {
+		c.Load = core.Load{
+			Inflight: rapid.IntRange(0, 20).Draw(t, "inflight"),
+			Credit:   rapid.IntRange(0, 4).Draw(t, "credit"),
+			Draining: rapid.Bool().Draw(t, "draining"),
+			At:       start.Add(-time.Duration(rapid.IntRange(0, 15000).Draw(t, "lag")) * time.Millisecond),
+		}
+	}
+	return c
+}
+
+// Guards against dispatches beyond the credit, and against requests that wait
+// although an upstream of any zone has credit.
+func TestPicksExactlyWhereCreditIsLeft(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cs := rapid.SliceOfN(rapid.Custom(drawCandidate), 0, 12).Draw(t, "candidates")
+		some := false
+		for i := range cs {
+			some = some || cs[i].Own < picker.Credit(start, &cs[i])
+		}
+		for name, p := range pickers(intN()) {
+			i := p.Pick(start, cs)
+			if (i >= 0) != some {
+				t.Fatalf("%s picked %d, credit left: %v", name, i, some)
+			}
+			if i >= 0 && cs[i].Own >= picker.Credit(start, &cs[i]) {
+				t.Fatalf("%s picked a candidate without credit", name)
+			}
+		}
+	})
+}
+
+var _ = Describe("every picker", func() {
+	for name, p := range pickers(nil) {
+		It("uses all idle candidates and bears concurrent use: "+name, func() {
+			cs := make([]core.Candidate, 6)
+			for i := range cs {
+				cs[i] = core.Candidate{Zone: "a", Limit: 4, Load: core.Load{Credit: 4, At: start}}
+			}
+			var mu sync.Mutex
+			seen := map[int]int{}
+			var wg sync.WaitGroup
+			for range 4 {
+				wg.Go(func() {
+					for range 300 {
+						i := p.Pick(start, cs)
+						mu.Lock()
+						seen[i]++
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			Expect(seen).To(HaveLen(len(cs)))
+			Expect(seen).NotTo(HaveKey(-1))
+		})
+	}
+})
+
+var _ = Describe("Credit", func() {
+	load := core.Load{Credit: 0, At: start}
+	// Guards against an entry that never learns of new credit, because it
+	// sends nothing without credit and gets no report without sending.
+	It("is 1 before the first report and once a report without credit is old", func() {
+		Expect(picker.Credit(start, &core.Candidate{})).To(Equal(1))
+		Expect(picker.Credit(start, &core.Candidate{Load: load})).To(BeZero())
+		Expect(picker.Credit(start.Add(2*time.Second), &core.Candidate{Load: load})).To(Equal(1))
+	})
+	It("stays 0 longer for an agent that drains", func() {
+		load.Draining, load.Credit = true, 5
+		Expect(picker.Credit(start.Add(2*time.Second), &core.Candidate{Load: load})).To(BeZero())
+		Expect(picker.Credit(start.Add(11*time.Second), &core.Candidate{Load: load})).To(Equal(1))
+	})
+})
+
+var _ = Describe("TwoChoices", func() {
+	// Guards against a cliff: a small rise of the own zone's load that moves a
+	// large share of the requests to another zone.
+	It("spills over to other zones gradually", func() {
+		p := &picker.TwoChoices{Zone: "a", IntN: intN()}
+		last := 0.0
+		for load := range 120 {
+			cs := []core.Candidate{
+				{Zone: "a", Limit: 100, Load: core.Load{Inflight: load, Credit: 9, At: start}},
+				{Zone: "b", Limit: 100, Load: core.Load{Inflight: load / 2, Credit: 9, At: start}},
+			}
+			spilled := 0
+			for range 4000 {
+				spilled += p.Pick(start, cs)
+			}
+			share := float64(spilled) / 4000
+			Expect(share-last).To(BeNumerically("~", 0, 0.08), "load %d", load)
+			last = share
+		}
+		Expect(last).To(BeNumerically(">", 0.5))
+	})
+	It("prefers the cached prefix until load outweighs it", func() {
+		p := &picker.TwoChoices{IntN: intN()}
+		cs := make([]core.Candidate, 8)
+		for i := range cs {
+			cs[i] = core.Candidate{Limit: 10, Load: core.Load{Credit: 9, At: start}}
+		}
+		cs[3].Affinity = 1
+		for range 50 {
+			Expect(p.Pick(start, cs)).To(Equal(3))
+		}
+		cs[3].Load.Inflight = 9
+		for range 50 {
+			Expect(p.Pick(start, cs)).NotTo(Equal(3))
+		}
+	})
+})
+
+var _ = Describe("Prefixes", func() {
+	ev := func(seq, prefix uint64, evicted bool) core.CacheEvent {
+		return core.CacheEvent{Sequence: seq, Prefix: prefix, Evicted: evicted}
+	}
+	It("counts the unbroken part of a prompt", func() {
+		p := &picker.Prefixes{}
+		p.Apply("e", []core.CacheEvent{ev(1, 10, false), ev(2, 11, false), ev(3, 13, false)})
+		Expect(p.Affinity("e", []uint64{10, 11, 12, 13})).To(Equal(0.5))
+		Expect(p.Affinity("other", []uint64{10})).To(BeZero())
+		p.Apply("e", []core.CacheEvent{ev(4, 11, true), ev(2, 11, false)})
+		Expect(p.Affinity("e", []uint64{10, 11, 12, 13})).To(Equal(0.25))
+	})
+	// Guards against affinity to prefixes whose eviction was lost.
+	It("drops an engine's entries at a gap", func() {
+		p := &picker.Prefixes{}
+		p.Apply("e", []core.CacheEvent{ev(1, 10, false)})
+		p.Apply("f", []core.CacheEvent{ev(1, 10, false)})
+		p.Apply("e", []core.CacheEvent{ev(3, 11, false)})
+		Expect(p.Affinity("e", []uint64{10})).To(BeZero())
+		Expect(p.Affinity("e", []uint64{11})).To(Equal(1.0))
+		Expect(p.Affinity("f", []uint64{10})).To(Equal(1.0))
+		Expect(p.Last("e")).To(Equal(uint64(3)))
+	})
+	It("stays bounded over all engines", func() {
+		p := &picker.Prefixes{Max: 3}
+		for i := range uint64(10) {
+			p.Apply("e", []core.CacheEvent{ev(i+1, i, false)})
+			p.Apply("f", []core.CacheEvent{ev(i+1, i, false)})
+		}
+		held := 0.0
+		for i := range uint64(10) {
+			held += p.Affinity("e", []uint64{i}) + p.Affinity("f", []uint64{i})
+		}
+		Expect(held).To(Equal(3.0))
+		p.Drop("e")
+		Expect(p.Affinity("e", []uint64{9})).To(BeZero())
+	})
+})
