--- /dev/null
+++ b/core/request/retry/budget.go
@@ -0,0 +1,76 @@
+package retry
+
+import (
+	"math"
+	"sync/atomic"
+)
+
+const (
+	// DefaultRatio is the part of a retry that each first attempt earns.
+	DefaultRatio = 0.1
+	// Most is the greatest number of retries that are saved up.
+	Most = 10
+	// Start is the number of retries that a new budget has. A new entry picks
+	// blindly once from each of its 16 upstreams, because it has no load
+	// report yet; if one zone of three is lost, five of these picks fail.
+	Start = 5
+
+	unit = 1000
+)
+
+// Budget is the retry budget of one service.
+type Budget struct {
+	// saved and ratio are in thousandths of a retry.
+	saved atomic.Int64
+	ratio atomic.Int64
+}
+
+// NewBudget returns a budget that holds Start retries. ratio 0 selects
+// DefaultRatio.
+func NewBudget(ratio float64) *Budget {
+	b := &Budget{}
+	b.saved.Store(Start * unit)
+	b.SetRatio(ratio)
+	return b
+}
+
+// SetRatio changes the ratio and keeps what is saved.
+func (b *Budget) SetRatio(ratio float64) {
+	if ratio == 0 {
+		ratio = DefaultRatio
+	}
+	b.ratio.Store(int64(math.Round(ratio * unit)))
+}
+
+// First counts a first attempt.
+func (b *Budget) First() {
+	for {
+		old := b.saved.Load()
+		if b.saved.CompareAndSwap(old, min(old+b.ratio.Load(), Most*unit)) {
+			return
+		}
+	}
+}
+
+// Take pays for one retry or hedge, and reports whether the budget allows it.
+func (b *Budget) Take() bool {
+	for {
+		old := b.saved.Load()
+		if old < unit {
+			return false
+		}
+		if b.saved.CompareAndSwap(old, old-unit) {
+			return true
+		}
+	}
+}
+
+// Return gives back what Take took, for a retry that was not made.
+func (b *Budget) Return() {
+	for {
+		old := b.saved.Load()
+		if b.saved.CompareAndSwap(old, min(old+unit, Most*unit)) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/request/retry/retry_test.go
@@ -0,0 +1,85 @@
+package retry_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/request/retry"
+	_ "parsleyroute.example/core/suite/seed"
+)
+
+// Guards against retries that multiply the load on the remaining upstreams.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.SampledFrom([]float64{0, 0.01, 0.1, 0.5}).Draw(t, "ratio")
+		b := retry.NewBudget(ratio)
+		if ratio == 0 {
+			ratio = retry.DefaultRatio
+		}
+		first, taken, idle := 0, 0, 0
+		for _, take := range rapid.SliceOfN(rapid.Bool(), 0, 400).Draw(t, "ops") {
+			if !take {
+				b.First()
+				first++
+				idle++
+				continue
+			}
+			if b.Take() {
+				taken++
+			} else if float64(idle)*ratio >= 1 {
+				t.Fatalf("no retry after %d first attempts", idle)
+			}
+			idle = 0
+		}
+		if most := retry.Start + ratio*float64(first) + 1e-6; float64(taken) > most {
+			t.Fatalf("%d retries of at most %v", taken, most)
+		}
+	})
+}
+
+func TestBudgetSavesAtMostTen(t *testing.T) {
+	g := NewWithT(t)
+	b := retry.NewBudget(0)
+	for range 1000 {
+		b.First()
+	}
+	b.Return()
+	var taken atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 50 {
+				if b.Take() {
+					taken.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	g.Expect(taken.Load()).To(BeEquivalentTo(retry.Most))
+}
+
+// Guards against a configuration change that refills a spent budget.
+func TestUpdateKeepsWhatIsSaved(t *testing.T) {
+	g := NewWithT(t)
+	var b retry.Budgets
+	g.Expect(b.Of("s").Take()).To(BeFalse())
+	table := func(ratio float64) *core.Table {
+		return &core.Table{Services: map[string]*core.ServiceState{"s": {Service: core.Service{RetryRatio: ratio}}}}
+	}
+	b.Update(table(0))
+	for b.Of("s").Take() {
+	}
+	b.Update(table(0.5))
+	g.Expect(b.Of("s").Take()).To(BeFalse())
+	b.Of("s").First()
+	b.Of("s").First()
+	g.Expect(b.Of("s").Take()).To(BeTrue())
+	b.Update(&core.Table{})
+	g.Expect(b.Of("s").Take()).To(BeFalse())
+}
