--- /dev/null
+++ b/core/request/admit/item.go
@@ -0,0 +1,52 @@
+package admit
+
+import (
+	"cmp"
+	"time"
+)
+
+// Item is a request that wants capacity. Its fields are set before Wait and
+// not changed until Wait returns.
+type Item struct {
+	Team string
+	// Weight is the team's share relative to the others'; default 1.
+	Weight   float64
+	Priority int
+	// Deadline is the latest useful start; zero means none.
+	Deadline time.Time
+	// Class names the set of upstreams that the request may use. If Use fails
+	// for one item of a class, the others of the class are not tried.
+	Class string
+	// Use takes capacity for the request and reports whether there was any. It
+	// is called with the queue locked, so it must neither block nor call the
+	// queue. What it has taken belongs to the caller of Wait, who gives it back
+	// and then calls Grant.
+	Use func() bool
+
+	arrival uint64
+	done    chan error
+}
+
+// before orders the items of one team: priority, deadline, arrival.
+func before(a, b *Item) int {
+	if c := cmp.Compare(b.Priority, a.Priority); c != 0 {
+		return c
+	}
+	if !a.Deadline.Equal(b.Deadline) {
+		switch {
+		case a.Deadline.IsZero():
+			return 1
+		case b.Deadline.IsZero():
+			return -1
+		}
+		return a.Deadline.Compare(b.Deadline)
+	}
+	return cmp.Compare(a.arrival, b.arrival)
+}
+
+func weight(it *Item) float64 {
+	if it.Weight > 0 {
+		return it.Weight
+	}
+	return 1
+}
