--- /dev/null
+++ b/core/version/objset/view.go
@@ -0,0 +1,112 @@
+package objset
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"parsleyroute.example/core"
+)
+
+// Buckets is the number of buckets of a set.
+const Buckets = 64
+
+type bucket struct {
+	objects map[core.Key]core.Object
+	digest  uint64
+}
+
+// view has the read methods that Set and Snapshot share.
+type view struct {
+	buckets [Buckets]*bucket
+	total   uint64
+	n       int
+}
+
+// Snapshot is an immutable state of a set.
+type Snapshot struct{ view }
+
+// Bucket returns the index of the bucket that holds key.
+func Bucket(key core.Key) int {
+	return int(keyHash(key) % Buckets)
+}
+
+func keyHash(key core.Key) uint64 {
+	var buf [128]byte
+	b := append(buf[:0], key.Kind...)
+	b = append(b, 0)
+	return xxhash.Sum64(append(b, key.Name...))
+}
+
+func objectHash(obj *core.Object) uint64 {
+	var buf [128]byte
+	b := append(buf[:0], obj.Kind...)
+	b = append(b, 0)
+	b = append(b, obj.Name...)
+	b = append(b, 0)
+	b = binary.LittleEndian.AppendUint64(b, obj.Version)
+	if obj.Deleted {
+		b = append(b, 1)
+	}
+	return xxhash.Sum64(b)
+}
+
+// Len returns the number of objects, tombstones included.
+func (v *view) Len() int { return v.n }
+
+// Total returns the digest of the whole set; zero for an empty one.
+func (v *view) Total() uint64 { return v.total }
+
+// Digests returns the digest of each bucket.
+func (v *view) Digests() [Buckets]uint64 {
+	var d [Buckets]uint64
+	for i, b := range v.buckets {
+		if b != nil {
+			d[i] = b.digest
+		}
+	}
+	return d
+}
+
+// Get returns the object or tombstone of key.
+func (v *view) Get(key core.Key) (core.Object, bool) {
+	b := v.buckets[Bucket(key)]
+	if b == nil {
+		return core.Object{}, false
+	}
+	obj, ok := b.objects[key]
+	return obj, ok
+}
+
+// Version returns the version of the object or tombstone of key, or zero.
+func (v *view) Version(key core.Key) uint64 {
+	obj, _ := v.Get(key)
+	return obj.Version
+}
+
+// Bucket returns the objects and tombstones of bucket i, in no order. It is
+// empty for an index out of range.
+func (v *view) Bucket(i int) []core.Object {
+	if i < 0 || i >= Buckets || v.buckets[i] == nil {
+		return nil
+	}
+	objects := make([]core.Object, 0, len(v.buckets[i].objects))
+	for _, obj := range v.buckets[i].objects {
+		objects = append(objects, obj)
+	}
+	return objects
+}
+
+// Objects returns all objects and tombstones, in no order.
+func (v *view) Objects() []core.Object {
+	objects := make([]core.Object, 0, v.n)
+	for _, b := range v.buckets {
+		if b == nil {
+			continue
+		}
+		for _, obj := range b.objects {
+			objects = append(objects, obj)
+		}
+	}
+	return objects
+}
