--- /dev/null
+++ b/core/process/spread/object.go
@@ -0,0 +1,70 @@
+package spread
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/wire"
+)
+
+// maxMessage is the greatest size of the objects or versions in one message,
+// in bytes, unless a single object is larger. The store's values have up to
+// 1 MB.
+const maxMessage = 1 << 20
+
+// maxBody is the greatest size of a message that is read.
+const maxBody = 4 << 20
+
+func toWire(obj core.Object) *wire.Object {
+	w := &wire.Object{
+		Kind: string(obj.Kind), Name: obj.Name, Version: obj.Version,
+		Writer: obj.Writer, Nonce: obj.Nonce, Value: obj.Value, Deleted: obj.Deleted,
+	}
+	if obj.Deleted && !obj.DeletedAt.IsZero() {
+		w.DeletedUnix = obj.DeletedAt.Unix()
+	}
+	return w
+}
+
+func fromWire(objects []*wire.Object) []core.Object {
+	return lo.Map(objects, func(w *wire.Object, _ int) core.Object {
+		obj := core.Object{
+			Key:     core.Key{Kind: core.Kind(w.GetKind()), Name: w.GetName()},
+			Version: w.GetVersion(), Writer: w.GetWriter(), Nonce: w.GetNonce(),
+			Deleted: w.GetDeleted(),
+		}
+		if obj.Deleted {
+			if sec := w.GetDeletedUnix(); sec != 0 {
+				obj.DeletedAt = time.Unix(sec, 0).UTC()
+			}
+		} else {
+			obj.Value = w.GetValue()
+		}
+		return obj
+	})
+}
+
+// size estimates the encoded size of an object from above.
+func size(w *wire.Object) int {
+	return len(w.GetKind()) + len(w.GetName()) + len(w.GetWriter()) + len(w.GetNonce()) + len(w.GetValue()) + 48
+}
+
+// batches splits objects into messages of at most maxMessage bytes.
+func batches(objects []*wire.Object) [][]*wire.Object {
+	var out [][]*wire.Object
+	start, sum := 0, 0
+	for i, obj := range objects {
+		if s := size(obj); i > start && sum+s > maxMessage {
+			out = append(out, objects[start:i])
+			start, sum = i, s
+		} else {
+			sum += s
+		}
+	}
+	if start < len(objects) {
+		out = append(out, objects[start:])
+	}
+	return out
+}
--- /dev/null
+++ b/core/process/spread/roster.go
@@ -0,0 +1,189 @@
+package spread
+
+import (
+	"bytes"
+	"cmp"
+	"compress/flate"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/wire"
+)
+
+const (
+	// watchersPerZone keeps a zone served while two watchers are lost.
+	watchersPerZone = 3
+	// abroadPerZone is the number of instances of every other zone to which a
+	// watcher pushes.
+	abroadPerZone = 2
+	maxRosterSize = 16 << 20
+)
+
+var rosterKey = core.Key{Kind: core.KindRoster, Name: "instances"}
+
+// roster is the instance list as one node sees it. It is immutable.
+type roster struct {
+	revision  uint64
+	instances []core.Instance
+	// own and others are the peers in and outside the node's zone, without the
+	// node itself.
+	own, others []netip.AddrPort
+	// zones has the watchers and the other peers of each other zone.
+	zones []zoneRoster
+	// watcher is set if the node is to watch the store, and relay if it passes
+	// changes from other zones on to its own.
+	watcher, relay bool
+}
+
+type zoneRoster struct {
+	relays, rest []netip.AddrPort
+}
+
+// newRoster derives the node's role. The node counts as listed, because the
+// list lags: an entry that has just started may be the only one of its zone.
+func newRoster(self core.Instance, revision uint64, instances []core.Instance) *roster {
+	r := &roster{revision: revision, instances: instances}
+	zones := map[string][]core.Instance{}
+	for _, inst := range instances {
+		if inst.Name == self.Name {
+			self.Leaving = self.Leaving || inst.Leaving
+			continue
+		}
+		if inst.Peer == self.Peer {
+			continue // a predecessor at this node's address
+		}
+		zones[inst.Zone] = append(zones[inst.Zone], inst)
+		if inst.Zone == self.Zone {
+			r.own = append(r.own, inst.Peer)
+		} else {
+			r.others = append(r.others, inst.Peer)
+		}
+	}
+	zones[self.Zone] = append(zones[self.Zone], self)
+	names := lo.Keys(zones)
+	slices.Sort(names)
+	for _, zone := range names {
+		relays := pickRelays(zone, zones[zone])
+		if zone == self.Zone {
+			r.relay = slices.ContainsFunc(relays, func(inst core.Instance) bool { return inst.Name == self.Name })
+			r.watcher = r.relay && self.Role == core.RoleEntry
+			continue
+		}
+		var z zoneRoster
+		for _, inst := range zones[zone] {
+			if slices.ContainsFunc(relays, func(relay core.Instance) bool { return relay.Name == inst.Name }) {
+				z.relays = append(z.relays, inst.Peer)
+			} else {
+				z.rest = append(z.rest, inst.Peer)
+			}
+		}
+		r.zones = append(r.zones, z)
+	}
+	return r
+}
+
+// pickRelays returns the instances that pass changes on in a zone: its
+// watchers or, in a zone without entries, agents. They are chosen by
+// rendezvous hashing (Thaler and Ravishankar 1998), so that one change of the
+// list replaces at most one of them.
+func pickRelays(zone string, instances []core.Instance) []core.Instance {
+	staying := lo.Reject(instances, func(inst core.Instance, _ int) bool { return inst.Leaving })
+	picked := lo.Filter(staying, func(inst core.Instance, _ int) bool { return inst.Role == core.RoleEntry })
+	if len(picked) == 0 {
+		picked = staying
+	}
+	score := func(inst core.Instance) uint64 { return xxhash.Sum64String(zone + "\x00" + inst.Name) }
+	slices.SortFunc(picked, func(a, b core.Instance) int {
+		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Name, b.Name))
+	})
+	return picked[:min(len(picked), watchersPerZone)]
+}
+
+// abroad returns instances of every other zone, the zone's relays first.
+func (r *roster) abroad(rng *rand.Rand) []netip.AddrPort {
+	var targets []netip.AddrPort
+	for _, z := range r.zones {
+		for i := range abroadPerZone {
+			switch k := i - len(z.relays); {
+			case k < 0:
+				continue
+			case k < len(z.rest):
+				targets = append(targets, z.rest[rng.IntN(len(z.rest))])
+			}
+		}
+		for _, i := range rng.Perm(len(z.relays))[:min(len(z.relays), abroadPerZone)] {
+			targets = append(targets, z.relays[i])
+		}
+	}
+	return lo.Uniq(targets)
+}
+
+// encodeRoster returns the value of the roster object: a wire.Roster in the
+// DEFLATE format. Instance names and zones repeat, so it shrinks several
+// times.
+func encodeRoster(instances []core.Instance) ([]byte, error) {
+	instances = slices.Clone(instances)
+	slices.SortFunc(instances, func(a, b core.Instance) int { return cmp.Compare(a.Name, b.Name) })
+	msg := &wire.Roster{}
+	for _, inst := range instances {
+		peer, err := inst.Peer.MarshalBinary()
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		msg.Instances = append(msg.Instances, &wire.RosterInstance{
+			Name: inst.Name, Role: string(inst.Role), Zone: inst.Zone, Peer: peer, Leaving: inst.Leaving,
+		})
+	}
+	raw, err := proto.Marshal(msg)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.DefaultCompression)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return b.Bytes(), nil
+}
+
+// decodeRoster reads what encodeRoster has written. Its errors are
+// trace.BadParameter.
+func decodeRoster(value []byte) ([]core.Instance, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(value)), maxRosterSize+1))
+	if err != nil {
+		return nil, trace.BadParameter("roster: %v", err)
+	}
+	if len(raw) > maxRosterSize {
+		return nil, trace.BadParameter("roster: longer than %d bytes", maxRosterSize)
+	}
+	var msg wire.Roster
+	if err := proto.Unmarshal(raw, &msg); err != nil {
+		return nil, trace.BadParameter("roster: %v", err)
+	}
+	instances := make([]core.Instance, 0, len(msg.GetInstances()))
+	for _, inst := range msg.GetInstances() {
+		var peer netip.AddrPort
+		if err := peer.UnmarshalBinary(inst.GetPeer()); err != nil {
+			return nil, trace.BadParameter("roster: address of %q: %v", inst.GetName(), err)
+		}
+		instances = append(instances, core.Instance{
+			Name: inst.GetName(), Role: core.Role(inst.GetRole()), Zone: inst.GetZone(),
+			Peer: peer, Leaving: inst.GetLeaving(),
+		})
+	}
+	return instances, nil
+}
