--- a/agent/main.go
+++ /dev/null
@@ -1,4 +0,0 @@
-// Package main is the program agent.
-package main
-
-func main() {}
--- /dev/null
+++ b/agent/serve/settings.go
@@ -0,0 +1,46 @@
+package serve
+
+import (
+	"net/netip"
+
+	"github.com/gravitational/trace"
+
+	"parsleyroute.example/core/process/conf"
+)
+
+// Settings are an agent's settings.
+type Settings struct {
+	conf.Node
+	// Listen is the address at which entries and peers reach the agent.
+	Listen netip.AddrPort `toml:"listen"`
+	// Upstream is the name of the upstream that the agent guards.
+	Upstream string `toml:"upstream"`
+	Engine   Engine `toml:"engine"`
+}
+
+// Engine selects the adapter for the upstream.
+type Engine struct {
+	// Kind is engine (a model engine) or plain (a plain service).
+	Kind    string         `toml:"kind"`
+	Address netip.AddrPort `toml:"address"`
+	// Group is the address of the rank's control interface; empty if the
+	// upstream is not a rank.
+	Group netip.AddrPort `toml:"group"`
+}
+
+// Check reports the first setting that is missing or out of range.
+func (s *Settings) Check() error {
+	if err := s.Node.Check(); err != nil {
+		return err
+	}
+	if err := conf.Address("listen", s.Listen); err != nil {
+		return err
+	}
+	if s.Upstream == "" {
+		return trace.BadParameter("setting upstream is missing")
+	}
+	if s.Engine.Kind != "engine" && s.Engine.Kind != "plain" {
+		return trace.BadParameter("setting engine.kind: %q is not engine or plain", s.Engine.Kind)
+	}
+	return conf.Address("engine.address", s.Engine.Address)
+}
--- a/core/conn/links/link.go
+++ b/core/conn/links/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -13,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"parsleyroute.example/core"
-	"parsleyroute.example/core/conn/peers"
+	"parsleyroute.example/core/process/spread"
 	"parsleyroute.example/core/request/codec"
 	"parsleyroute.example/core/request/frame"
 	"parsleyroute.example/core/wire"
@@ -42,8 +41,8 @@
 	Addr    netip.AddrPort
 	PeerKey string
 	Clock   core.Clock
-	// HTTP is the client for unary calls.
-	HTTP *http.Client
+	// HTTP is the client for unary calls. It adds the peer key.
+	HTTP wire.HTTPClient
 
 	client   *fasthttp.HostClient
 	upstream wire.Upstream
@@ -68,8 +67,8 @@
 		StreamResponseBody:        true,
 		DisablePathNormalizing:    true,
 	}
-	l.upstream = wire.NewUpstreamProtobufClient(peers.BaseURL(l.Addr), l.HTTP)
-	l.config = wire.NewConfigProtobufClient(peers.BaseURL(l.Addr), l.HTTP)
+	l.upstream = wire.NewUpstreamProtobufClient("http://"+l.Addr.String(), l.HTTP)
+	l.config = wire.NewConfigProtobufClient("http://"+l.Addr.String(), l.HTTP)
 	return l
 }
 
@@ -185,7 +184,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + l.Addr.String() + DispatchPath)
-	req.Header.Set(peers.KeyHeader, l.PeerKey)
+	req.Header.Set(spread.PeerKeyHeader, l.PeerKey)
 	req.SetBodyRaw(p)
 	resp := fasthttp.AcquireResponse()
 	if err := l.client.Do(req, resp); err != nil {
--- /dev/null
+++ b/core/process/conf/node.go
@@ -0,0 +1,74 @@
+package conf
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Defaults of Node.
+const (
+	DefaultDrain = time.Minute
+	DefaultGrace = 2 * time.Second
+)
+
+// Node holds the settings that entries and agents share.
+type Node struct {
+	// Instance is the name of the instance and Zone its availability zone.
+	Instance string `toml:"instance"`
+	Zone     string `toml:"zone"`
+	// Key is the secret that all processes of the system share.
+	Key string `toml:"key"`
+	// Level is the lowest level logged: debug, info (default), warn or error.
+	Level string `toml:"level"`
+	// Seeds are the peer addresses of instances to ask when the instance list
+	// is unknown.
+	Seeds []netip.AddrPort `toml:"seeds"`
+	// Drain bounds the wait for requests in flight at shutdown; default 60s.
+	Drain Duration `toml:"drain"`
+	// Grace is the time for which a process that ends goes on taking requests,
+	// so that the platform's balancer can notice; default 2s.
+	Grace    Duration `toml:"grace"`
+	Platform Platform `toml:"platform"`
+}
+
+// Platform selects the adapters for the platform.
+type Platform struct {
+	// Adapter is objapi, which is the default and the only one.
+	Adapter string         `toml:"adapter"`
+	Address netip.AddrPort `toml:"address"`
+	// Timeout bounds one call; default 2s.
+	Timeout Duration `toml:"timeout"`
+}
+
+// Check reports the first setting that is missing or out of range.
+func (n *Node) Check() error {
+	switch {
+	case n.Instance == "":
+		return trace.BadParameter("setting instance is missing")
+	case n.Zone == "":
+		return trace.BadParameter("setting zone is missing")
+	case n.Key == "":
+		return trace.BadParameter("setting key is missing")
+	case n.Platform.Adapter != "" && n.Platform.Adapter != "objapi":
+		return trace.BadParameter("setting platform.adapter: there is no adapter %q; use objapi", n.Platform.Adapter)
+	case !n.Platform.Address.IsValid():
+		return trace.BadParameter("setting platform.address is missing")
+	case n.Drain.Duration < 0 || n.Grace.Duration < 0 || n.Platform.Timeout.Duration < 0:
+		return trace.BadParameter("settings drain, grace and platform.timeout must not be negative")
+	}
+	switch n.Level {
+	case "", "debug", "info", "warn", "error":
+		return nil
+	}
+	return trace.BadParameter("setting level: %q is not debug, info, warn or error", n.Level)
+}
+
+// Address checks an address setting that must be set.
+func Address(name string, addr netip.AddrPort) error {
+	if !addr.IsValid() || addr.Port() == 0 {
+		return trace.BadParameter("setting %s is missing or has no port", name)
+	}
+	return nil
+}
