Compile declarations and rules into the table

A route selector with requirements on the service restricts only the services that meet them. An upstream of an undeclared zone is left out, because no rule could take that zone out.

--- /dev/null
+++ b/core/version/rules/compile.go
@@ -0,0 +1,318 @@
+package rules
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/hex"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"k8s.io/apimachinery/pkg/labels"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/version/decl"
+)
+
+// The values of declared fields that are zero.
+const (
+	DefaultTimeout    = 30 * time.Second
+	DefaultQueue      = 256
+	DefaultRetryRatio = 0.1
+	DefaultCold       = 1
+	DefaultStep       = 8
+	DefaultWeight     = 1
+)
+
+// Compiler compiles successive states of the configuration. It keeps the
+// decoded declarations, so that a change costs the decoding of what changed.
+// Its zero value is ready; it is not safe for concurrent use.
+type Compiler struct {
+	decoded map[core.Key]decoded
+}
+
+type decoded struct {
+	object core.Object
+	d      decl.Declaration
+	err    error
+}
+
+// Compile returns the effective configuration of the objects, and an error for
+// each object that was left out and for each credential of a second team.
+func Compile(objects []core.Object) (*core.Table, []error) {
+	return new(Compiler).Compile(objects)
+}
+
+// Compile is like the function Compile.
+func (c *Compiler) Compile(objects []core.Object) (*core.Table, []error) {
+	b := builder{sets: map[core.Key]labels.Set{}, limits: map[*core.UpstreamState]int{}, table: &core.Table{
+		Services: map[string]*core.ServiceState{},
+		Upstream: map[string]*core.UpstreamState{},
+		Zones:    map[string]*core.ZoneState{},
+		Teams:    map[string]*core.TeamState{},
+		Keys:     map[[32]byte]*core.TeamState{},
+	}}
+	next := make(map[core.Key]decoded, len(objects))
+	for _, o := range newest(objects) {
+		b.table.Version = max(b.table.Version, o.Version)
+		if o.Deleted {
+			continue
+		}
+		e, ok := c.decoded[o.Key]
+		if !ok || e.object.Version != o.Version || !bytes.Equal(e.object.Value, o.Value) {
+			e = decoded{object: o}
+			e.d, e.err = decl.Unmarshal(o.Key, o.Value)
+		}
+		next[o.Key] = e
+		if e.err != nil {
+			b.errs = append(b.errs, e.err)
+			continue
+		}
+		b.add(e.d)
+	}
+	c.decoded = next
+	b.link()
+	b.apply()
+	b.finish()
+	return b.table, b.errs
+}
+
+// newest returns the newest object of each declaration, in the order of
+// core.DeclarationKinds and of names.
+func newest(objects []core.Object) []core.Object {
+	last := make(map[core.Key]core.Object, len(objects))
+	for _, o := range objects {
+		if !slices.Contains(core.DeclarationKinds, o.Kind) {
+			continue
+		}
+		if p, ok := last[o.Key]; !ok || compareObjects(p, o) < 0 {
+			last[o.Key] = o
+		}
+	}
+	sorted := make([]core.Object, 0, len(last))
+	for _, o := range last {
+		sorted = append(sorted, o)
+	}
+	slices.SortFunc(sorted, func(a, b core.Object) int {
+		return cmp.Or(
+			cmp.Compare(slices.Index(core.DeclarationKinds, a.Kind), slices.Index(core.DeclarationKinds, b.Kind)),
+			strings.Compare(a.Name, b.Name),
+		)
+	})
+	return sorted
+}
+
+// compareObjects orders the versions of one object. The store gives no version
+// twice; if two objects claim one nevertheless, the outcome is at least the
+// same on every node.
+func compareObjects(a, b core.Object) int {
+	deleted := func(o core.Object) int {
+		if o.Deleted {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		cmp.Compare(a.Version, b.Version),
+		cmp.Compare(deleted(a), deleted(b)),
+		bytes.Compare(a.Value, b.Value),
+	)
+}
+
+// rule is a rule with its parsed selectors.
+type rule struct {
+	core.Rule
+	selector labels.Selector
+	to       labels.Selector
+}
+
+// builder holds one compilation.
+type builder struct {
+	table     *core.Table
+	errs      []error
+	rules     []rule
+	upstreams []*core.UpstreamState
+	sets      map[core.Key]labels.Set
+	// limits has the limit rule in force for each upstream with one.
+	limits map[*core.UpstreamState]int
+}
+
+func (b *builder) add(d decl.Declaration) {
+	b.sets[d.Key()] = decl.LabelSet(d)
+	switch d := d.(type) {
+	case decl.Zone:
+		b.table.Zones[d.Name] = &core.ZoneState{Zone: d.Zone}
+	case decl.Service:
+		s := d.Service
+		s.Timeout = cmp.Or(s.Timeout, DefaultTimeout)
+		s.Queue = cmp.Or(s.Queue, DefaultQueue)
+		s.RetryRatio = cmp.Or(s.RetryRatio, DefaultRetryRatio)
+		b.table.Services[d.Name] = &core.ServiceState{Service: s}
+	case decl.Upstream:
+		u := d.Upstream
+		u.Cold = cmp.Or(u.Cold, min(DefaultCold, u.Limit))
+		u.Step = cmp.Or(u.Step, DefaultStep)
+		b.upstreams = append(b.upstreams, &core.UpstreamState{Upstream: u, Share: 1})
+	case decl.Team:
+		t := d.Team
+		t.Weight = cmp.Or(t.Weight, DefaultWeight)
+		b.table.Teams[d.Name] = &core.TeamState{Team: t}
+	case decl.Rule:
+		r := rule{Rule: d.Rule}
+		var err error
+		if r.selector, err = labels.Parse(d.Selector); err == nil && d.To != "" {
+			r.to, err = labels.Parse(d.To)
+		}
+		if err != nil {
+			b.errs = append(b.errs, trace.BadParameter("rule %q: %s", d.Name, err))
+			return
+		}
+		b.rules = append(b.rules, r)
+	}
+}
+
+// link adds the upstreams to the table and to their services. An upstream of an
+// undeclared zone is left out, because no rule could take that zone out.
+func (b *builder) link() {
+	linked := b.upstreams[:0]
+	for _, u := range b.upstreams {
+		s, ok := b.table.Services[u.Service]
+		if !ok {
+			b.errs = append(b.errs, trace.NotFound("upstream %q: service %q is not declared", u.Name, u.Service))
+			continue
+		}
+		if _, ok := b.table.Zones[u.Zone]; !ok {
+			b.errs = append(b.errs, trace.NotFound("upstream %q: zone %q is not declared", u.Name, u.Zone))
+			continue
+		}
+		b.table.Upstream[u.Name] = u
+		s.Upstreams = append(s.Upstreams, u)
+		linked = append(linked, u)
+	}
+	b.upstreams = linked
+}
+
+func (b *builder) matches(r rule, kind core.Kind, name string) bool {
+	return r.Kind == kind && r.selector.Matches(b.sets[core.Key{Kind: kind, Name: name}])
+}
+
+// apply puts the rules in force, the first one last, so that it overwrites the
+// others of its action.
+func (b *builder) apply() {
+	slices.SortFunc(b.rules, func(x, y rule) int { return Compare(x.Rule, y.Rule) })
+	for _, r := range slices.Backward(b.rules) {
+		switch r.Kind {
+		case core.KindZone, core.KindUpstream:
+			b.applyUpstreams(r)
+		case core.KindService:
+			for _, s := range b.table.Services {
+				if b.matches(r, core.KindService, s.Name) {
+					s.Routed = b.routed(r, s.Upstreams)
+				}
+			}
+		case core.KindTeam:
+			b.applyTeams(r)
+		}
+	}
+}
+
+func (b *builder) applyUpstreams(r rule) {
+	zones := map[string]bool{}
+	for _, z := range b.table.Zones {
+		if b.matches(r, core.KindZone, z.Name) {
+			zones[z.Name] = true
+			if r.Action == core.ActionOut {
+				z.Out, z.OutBy = true, r.Name
+			}
+		}
+	}
+	for _, u := range b.upstreams {
+		if !zones[u.Zone] && !b.matches(r, core.KindUpstream, u.Name) {
+			continue
+		}
+		switch r.Action {
+		case core.ActionOut:
+			u.Out, u.OutBy = true, r.Name
+		case core.ActionAdmit:
+			u.Share = r.Share
+		case core.ActionLimit:
+			b.limits[u] = int(r.Limit)
+		}
+	}
+}
+
+func (b *builder) applyTeams(r rule) {
+	var routed map[string]bool
+	for _, t := range b.table.Teams {
+		if !b.matches(r, core.KindTeam, t.Name) {
+			continue
+		}
+		switch r.Action {
+		case core.ActionRoute:
+			if routed == nil {
+				routed = b.routed(r, b.upstreams)
+			}
+			t.Routed = routed
+		case core.ActionLimit:
+			t.Rate = r.Limit
+		case core.ActionPriority:
+			t.Priority = r.Priority
+		}
+	}
+}
+
+// routed returns the upstreams to which a route rule restricts its objects.
+// Where the rule's second selector has requirements on the label service, it
+// restricts only the services that meet them, so that a team can be routed in
+// one service and left alone in the others.
+func (b *builder) routed(r rule, upstreams []*core.UpstreamState) map[string]bool {
+	all, _ := r.to.Requirements()
+	routed := map[string]bool{}
+	for _, u := range upstreams {
+		set := b.sets[core.Key{Kind: core.KindUpstream, Name: u.Name}]
+		concerned := true
+		for _, q := range all {
+			concerned = concerned && (q.Key() != "service" || q.Matches(set))
+		}
+		if !concerned || r.to.Matches(set) {
+			routed[u.Name] = true
+		}
+	}
+	return routed
+}
+
+// finish sets what depends on the outcome of several rules.
+func (b *builder) finish() {
+	// The declared limit is what the upstream can bear; a rule only lowers it.
+	for u, limit := range b.limits {
+		u.Limit = min(u.Limit, limit)
+		u.Cold = min(u.Cold, u.Limit)
+	}
+	names := make([]string, 0, len(b.table.Teams))
+	for name, t := range b.table.Teams {
+		names = append(names, name)
+		if t.Burst == 0 {
+			t.Burst = max(1, int(math.Ceil(t.Rate)))
+		}
+	}
+	// A credential of two teams belongs to the one with the smaller name, on
+	// every node and whatever was declared first.
+	slices.Sort(names)
+	for _, name := range names {
+		t := b.table.Teams[name]
+		for _, k := range t.Keys {
+			var sum [32]byte
+			if _, err := hex.Decode(sum[:], []byte(k)); err != nil {
+				b.errs = append(b.errs, trace.BadParameter("team %q: key %q: %s", name, k, err))
+				continue
+			}
+			if owner, ok := b.table.Keys[sum]; ok {
+				b.errs = append(b.errs, trace.AlreadyExists("team %q: key %q belongs to team %q", name, k, owner.Name))
+				continue
+			}
+			b.table.Keys[sum] = t
+		}
+	}
+}
--- /dev/null
+++ b/core/version/rules/rules_test.go
@@ -0,0 +1,255 @@
+package rules_test
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+
+	"github.com/gravitational/trace"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"parsleyroute.example/core"
+	_ "parsleyroute.example/core/suite/seed"
+	"parsleyroute.example/core/version/decl"
+	"parsleyroute.example/core/version/rules"
+)
+
+func TestRules(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "rules")
+}
+
+// objects stores the declarations at versions 1, 2, 3 and so on.
+func objects(ds ...decl.Declaration) []core.Object {
+	var list []core.Object
+	for i, d := range ds {
+		value, err := decl.Marshal(d)
+		if err != nil {
+			panic(err)
+		}
+		list = append(list, core.Object{Key: d.Key(), Version: uint64(i + 1), Value: value})
+	}
+	return list
+}
+
+func zone(name string) decl.Zone { return decl.Zone{Zone: core.Zone{Name: name}} }
+
+func service(name string) decl.Service { return decl.Service{Service: core.Service{Name: name}} }
+
+func upstream(name, service, zone, tier string) decl.Upstream {
+	return decl.Upstream{Upstream: core.Upstream{
+		Name: name, Service: service, Zone: zone, Limit: 8, Labels: core.Labels{"tier": tier},
+		Agent: netip.MustParseAddrPort("127.0.0.1:7101"),
+	}}
+}
+
+func team(name string, keys ...string) decl.Team {
+	return decl.Team{Team: core.Team{Name: name, Keys: keys, Rate: 2.5}}
+}
+
+var zones = []string{"za", "zb", "zc"}
+
+// drawRule draws a rule whose selector often meets those of others.
+func drawRule(t *rapid.T, name string) decl.Rule {
+	r := core.Rule{Name: name, Order: rapid.IntRange(-1, 1).Draw(t, "order")}
+	r.Action = rapid.SampledFrom([]core.Action{
+		core.ActionOut, core.ActionAdmit, core.ActionRoute, core.ActionLimit, core.ActionPriority,
+	}).Draw(t, "action")
+	tier := "tier = " + rapid.SampledFrom([]string{"gold", "iron"}).Draw(t, "tier")
+	switch r.Action {
+	case core.ActionOut, core.ActionAdmit:
+		r.Share = 0.25 * float64(rapid.IntRange(1, 4).Draw(t, "share"))
+		r.Kind, r.Selector = core.KindUpstream, tier
+		if rapid.Bool().Draw(t, "zone") {
+			r.Kind, r.Selector = core.KindZone, "name = "+rapid.SampledFrom(zones).Draw(t, "name")
+		}
+		if r.Action == core.ActionOut {
+			r.Share = 0
+		}
+	case core.ActionRoute:
+		r.Kind, r.Selector, r.To = core.KindTeam, "name", tier
+	case core.ActionLimit:
+		r.Kind, r.Selector, r.Limit = core.KindUpstream, tier, float64(rapid.IntRange(1, 12).Draw(t, "limit"))
+	case core.ActionPriority:
+		r.Kind, r.Selector, r.Priority = core.KindTeam, "name", rapid.IntRange(0, 9).Draw(t, "priority")
+	}
+	return decl.Rule{Rule: r}
+}
+
+// draw draws a configuration with overlapping rules.
+func draw(t *rapid.T) ([]decl.Declaration, []core.Rule) {
+	ds := []decl.Declaration{service("s"), team("ta"), team("tb")}
+	for _, z := range zones {
+		ds = append(ds, zone(z))
+	}
+	for i := range rapid.IntRange(0, 6).Draw(t, "upstreams") {
+		ds = append(ds, upstream(fmt.Sprint("u", i), "s", rapid.SampledFrom(zones).Draw(t, "zone"),
+			rapid.SampledFrom([]string{"gold", "iron"}).Draw(t, "tier")))
+	}
+	var rs []core.Rule
+	for i := range rapid.IntRange(0, 8).Draw(t, "rules") {
+		r := drawRule(t, fmt.Sprint("r", i))
+		ds, rs = append(ds, r), append(rs, r.Rule)
+	}
+	return ds, rs
+}
+
+// Guards against nodes that disagree because objects reached them in another
+// order, twice, or together with older versions.
+func TestOrderOfArrival(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ds, _ := draw(t)
+		list := objects(ds...)
+		want, wantErrs := rules.Compile(list)
+		arrived := append([]core.Object(nil), list...)
+		for _, o := range list {
+			if rapid.Bool().Draw(t, "older") {
+				old := o
+				old.Version, old.Deleted = 0, rapid.Bool().Draw(t, "deleted")
+				arrived = append(arrived, old)
+			}
+		}
+		arrived = rapid.Permutation(arrived).Draw(t, "arrived")
+		var c rules.Compiler
+		c.Compile(arrived[:len(arrived)/2])
+		got, errs := c.Compile(arrived)
+		if !reflect.DeepEqual(got, want) || len(errs) != len(wantErrs) {
+			t.Fatalf("order of arrival changed the result: %+v, want %+v", got, want)
+		}
+	})
+}
+
+// Guards against a rule that is overridden by a weaker one, and against an
+// upstream that is in although its zone is out. The model looks for the winner
+// of each action with a plain scan.
+func TestPrecedence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ds, rs := draw(t)
+		table, errs := rules.Compile(objects(ds...))
+		if len(errs) != 0 {
+			t.Fatalf("errors %v", errs)
+		}
+		winner := func(a core.Action, applies func(core.Rule) bool) *core.Rule {
+			var best *core.Rule
+			for _, r := range rs {
+				if r.Action == a && applies(r) && (best == nil || r.Order > best.Order ||
+					r.Order == best.Order && r.Name < best.Name) {
+					best = &r
+				}
+			}
+			return best
+		}
+		for _, u := range table.Upstream {
+			applies := func(r core.Rule) bool {
+				return r.Kind == core.KindUpstream && r.Selector == "tier = "+u.Labels["tier"] ||
+					r.Kind == core.KindZone && r.Selector == "name = "+u.Zone
+			}
+			if table.Zones[u.Zone].Out && !u.Out {
+				t.Fatalf("%s is in, its zone %s is out", u.Name, u.Zone)
+			}
+			if r := winner(core.ActionOut, applies); (r != nil) != u.Out || r != nil && r.Name != u.OutBy {
+				t.Fatalf("%s out by %q, want %v", u.Name, u.OutBy, r)
+			}
+			share, limit := 1.0, 8
+			if r := winner(core.ActionAdmit, applies); r != nil {
+				share = r.Share
+			}
+			if r := winner(core.ActionLimit, applies); r != nil {
+				limit = min(8, int(r.Limit))
+			}
+			if u.Share != share || u.Limit != limit {
+				t.Fatalf("%s has share %v and limit %d, want %v and %d", u.Name, u.Share, u.Limit, share, limit)
+			}
+		}
+		for _, m := range table.Teams {
+			applies := func(r core.Rule) bool { return r.Kind == core.KindTeam }
+			if r := winner(core.ActionPriority, applies); r != nil && r.Priority != m.Priority {
+				t.Fatalf("%s has priority %d, want that of %v", m.Name, m.Priority, r)
+			}
+			r := winner(core.ActionRoute, applies)
+			for _, u := range table.Upstream {
+				if want := r == nil || r.To == "tier = "+u.Labels["tier"]; want != (m.Routed == nil || m.Routed[u.Name]) {
+					t.Fatalf("%s routed to %s: %v, want %v", m.Name, u.Name, !want, want)
+				}
+			}
+		}
+	})
+}
+
+// Guards against an order of rules with ties or cycles.
+func TestCompareIsTotal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var rs []core.Rule
+		for i := range 3 {
+			rs = append(rs, drawRule(t, fmt.Sprint("r", i)).Rule)
+		}
+		for _, p := range [][3]int{{0, 1, 2}, {1, 2, 0}, {2, 0, 1}, {0, 2, 1}, {1, 0, 2}, {2, 1, 0}} {
+			a, b, c := rs[p[0]], rs[p[1]], rs[p[2]]
+			if rules.Compare(a, b) == 0 || (rules.Compare(a, b) < 0) == (rules.Compare(b, a) < 0) {
+				t.Fatalf("%v and %v are not ordered", a, b)
+			}
+			if rules.Compare(a, b) < 0 && rules.Compare(b, c) < 0 && rules.Compare(a, c) >= 0 {
+				t.Fatalf("%v, %v and %v form a cycle", a, b, c)
+			}
+		}
+	})
+}
+
+var _ = Describe("Compile", func() {
+	// Guards against one bad object that takes the configuration down.
+	It("leaves bad objects out and reports them", func() {
+		list := objects(zone("za"), service("s"), upstream("u0", "s", "za", "gold"),
+			upstream("u1", "gone", "za", "gold"), upstream("u2", "s", "gone", "gold"))
+		list = append(list,
+			core.Object{Key: core.Key{Kind: core.KindTeam, Name: "t"}, Version: 40, Value: []byte("nonsense")},
+			core.Object{Key: core.Key{Kind: core.KindClaim, Name: "c"}, Version: 50, Value: []byte("claim")},
+			core.Object{Key: core.Key{Kind: core.KindZone, Name: "old"}, Version: 41, Deleted: true})
+		table, errs := rules.Compile(list)
+		Expect(errs).To(HaveLen(3))
+		Expect(table.Version).To(BeEquivalentTo(41))
+		Expect(table.Zones).To(HaveLen(1))
+		Expect(table.Upstream).To(HaveLen(1))
+		Expect(table.Services["s"].Upstreams).To(ConsistOf(table.Upstream["u0"]))
+	})
+
+	// Guards against a credential that belongs to different teams on
+	// different nodes.
+	It("gives a credential of two teams to the smaller name", func() {
+		key := fmt.Sprintf("%064x", 7)
+		table, errs := rules.Compile(objects(team("tb", key), team("ta", key)))
+		Expect(errs).To(HaveLen(1))
+		Expect(trace.IsAlreadyExists(errs[0])).To(BeTrue())
+		Expect(table.Keys).To(HaveLen(1))
+		for _, owner := range table.Keys {
+			Expect(owner).To(BeIdenticalTo(table.Teams["ta"]))
+		}
+		Expect(table.Teams["ta"].Burst).To(Equal(3))
+	})
+
+	// Guards against a route for one service that cuts a team off from others.
+	It("restricts a route to the services that its selector names", func() {
+		table, errs := rules.Compile(objects(zone("za"), service("s"), service("desk"), team("ta"),
+			upstream("u0", "s", "za", "gold"), upstream("u1", "s", "za", "iron"), upstream("d", "desk", "za", "iron"),
+			decl.Rule{Rule: core.Rule{
+				Name: "r", Kind: core.KindTeam, Selector: "name = ta", Action: core.ActionRoute, To: "service = s, tier = gold",
+			}}))
+		Expect(errs).To(BeEmpty())
+		Expect(table.Teams["ta"].Routed).To(Equal(map[string]bool{"u0": true, "d": true}))
+	})
+
+	// Guards against a selector that selects other objects in the command
+	// line than in a rule.
+	It("matches declared and implied labels", func() {
+		table, _ := rules.Compile(objects(zone("za"), zone("zb"), service("s"),
+			upstream("u1", "s", "zb", "gold"), upstream("u0", "s", "za", "gold"), upstream("u2", "s", "za", "iron")))
+		Expect(rules.Match(table, core.KindUpstream, "tier = gold, zone in (za, zb)")).To(Equal([]string{"u0", "u1"}))
+		Expect(rules.Match(table, core.KindZone, "name != za")).To(Equal([]string{"zb"}))
+		_, err := rules.Match(table, core.KindUpstream, "tier in (")
+		Expect(trace.IsBadParameter(err)).To(BeTrue())
+		_, err = rules.Match(table, core.KindRule, "name")
+		Expect(trace.IsBadParameter(err)).To(BeTrue())
+	})
+})
