--- a/agent/guard/guard.go
+++ b/agent/guard/guard.go
@@ -42,7 +42,7 @@
 // Recorder writes the outcome of a claimed attempt to the store. It returns
 // once the outcome is written or the claim belongs to another attempt.
 type Recorder interface {
-	Record(ctx context.Context, attempt *wire.Attempt, claimVersion uint64, answer *wire.Answer) error
+	Record(ctx context.Context, attempt *wire.Attempt, answer *wire.Answer) error
 }
 
 // Guard runs dispatches at one upstream. Exported fields are set before use.
@@ -66,12 +66,12 @@
 	load := func() *wire.Load { return codec.LoadToWire(g.Gate.Load(d.GetEntry())) }
 	out := frame.NewWriter(w, d.GetAttempt(), load)
 	if d.GetUpstream() != g.Upstream {
-		g.refuse(out, core.Refuse(core.ReasonNotFound, "the agent serves another upstream"))
+		g.reject(out, d, core.Refuse(core.ReasonNotFound, "the agent serves another upstream"))
 		return
 	}
 	slot, refusal := g.Gate.Acquire(d.GetEntry())
 	if refusal != nil {
-		g.refuse(out, refusal)
+		g.reject(out, d, refusal)
 		return
 	}
 	if claimed(d) {
@@ -96,6 +96,17 @@
 	}
 }
 
+// reject refuses a dispatch that was not begun. A claimed attempt becomes a
+// tombstone, so that the refusal stays true.
+func (g *Guard) reject(out *frame.Writer, d *wire.Dispatch, refusal *core.Refusal) {
+	if claimed(d) {
+		if state, _ := g.Ledger.Refuse(d.GetAttempt()); state != wire.AttemptState_ATTEMPT_STATE_TOMBSTONE {
+			refusal.Run = core.RunUnknown
+		}
+	}
+	g.refuse(out, refusal)
+}
+
 func claimed(d *wire.Dispatch) bool { return d.GetAttempt().GetKey() != "" }
 
 // run sends the request to the upstream and its answer to the entry.
@@ -180,7 +191,11 @@
 			// A broken connection may mean that the upstream has restarted.
 			g.Gate.Cool()
 		}
-		level.Warn(g.Logger).Log("msg", "upstream failed a request", "request", d.GetAttempt().GetRequestId(), "err", err)
+		_ = level.Warn(g.Logger).Log("msg", "upstream failed a request", "request", d.GetAttempt().GetRequestId(), "err", err)
+	}
+	if claimed(d) && !(isRefusal && refusal.Run == core.RunNo) {
+		// Nobody can tell whether the upstream ran it.
+		g.record(d, nil)
 	}
 	g.refuse(a.out, asRefusal(err, refusal))
 }
@@ -211,8 +226,8 @@
 	g.recording.Add(1)
 	go func() {
 		defer g.recording.Done()
-		if err := g.Recorder.Record(g.Base, d.GetAttempt(), d.GetClaimVersion(), answer); err != nil {
-			level.Error(g.Logger).Log("msg", "outcome not recorded", "request", d.GetAttempt().GetRequestId(), "err", err)
+		if err := g.Recorder.Record(g.Base, d.GetAttempt(), answer); err != nil {
+			_ = level.Error(g.Logger).Log("msg", "outcome not recorded", "request", d.GetAttempt().GetRequestId(), "err", err)
 			meter.Event("outcome_lost")
 			return
 		}
--- /dev/null
+++ b/agent/serve/agent.go
@@ -0,0 +1,228 @@
+package serve
+
+import (
+	"bufio"
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gofiber/fiber/v3"
+	"github.com/gravitational/trace"
+	"github.com/samber/do/v2"
+
+	"parsleyroute.example/agent/guard"
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/links"
+	"parsleyroute.example/core/conn/server"
+	"parsleyroute.example/core/process/clock"
+	"parsleyroute.example/core/process/conf"
+	"parsleyroute.example/core/process/engine"
+	"parsleyroute.example/core/process/meter"
+	"parsleyroute.example/core/process/objapi"
+	"parsleyroute.example/core/process/ramp"
+	"parsleyroute.example/core/process/spread"
+	"parsleyroute.example/core/request/claim"
+	"parsleyroute.example/core/request/codec"
+	"parsleyroute.example/core/request/frame"
+	"parsleyroute.example/core/request/ledger"
+	"parsleyroute.example/core/version/rules"
+	"parsleyroute.example/core/wire"
+)
+
+// reportPeriod is the time between reads of the upstream's load report.
+const reportPeriod = 250 * time.Millisecond
+
+// Agent is one agent process. Exported fields are set before Run.
+type Agent struct {
+	Settings Settings
+	Logger   log.Logger
+
+	incarnation uint64
+	node        *spread.Node
+	gate        *ramp.Gate
+	ledger      *ledger.Ledger
+	guard       *guard.Guard
+	engine      core.Engine
+	fence       fence
+	seen        uint64
+}
+
+// Run serves until ctx ends, then drains.
+func (a *Agent) Run(ctx context.Context) error {
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	a.incarnation = newIncarnation()
+	a.build(base)
+	srv := &server.Server{App: a.app(), Listen: a.Settings.Listen}
+	if err := srv.Start(); err != nil {
+		return err
+	}
+	go func() { _ = a.node.Run(base) }()
+	go a.followReports(base)
+	_ = level.Info(a.Logger).Log("msg", "listening", "address", srv.Addr(), "incarnation", a.incarnation)
+	<-ctx.Done()
+	err := a.drain(srv)
+	stop()
+	a.node.Close()
+	_ = level.Info(a.Logger).Log("msg", "ended", "err", err)
+	return err
+}
+
+// newIncarnation returns a number that no earlier process of the instance has
+// used. Zero stands for an unknown incarnation.
+func newIncarnation() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return max(1, binary.BigEndian.Uint64(b[:])>>1)
+}
+
+// build wires the parts. base bounds all work of the process.
+func (a *Agent) build(base context.Context) {
+	s := &a.Settings
+	i := do.New()
+	do.ProvideValue[core.Clock](i, clock.Real{})
+	do.Provide(i, func(do.Injector) (core.Store, error) {
+		return &objapi.Store{Addr: s.Platform.Address, Timeout: s.Platform.Timeout.Duration}, nil
+	})
+	do.Provide(i, func(do.Injector) (core.Engine, error) { return newEngine(s.Engine), nil })
+	do.Provide(i, func(i do.Injector) (*ramp.Gate, error) {
+		return &ramp.Gate{Clock: do.MustInvoke[core.Clock](i), Incarnation: a.incarnation}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*ledger.Ledger, error) {
+		return &ledger.Ledger{Clock: do.MustInvoke[core.Clock](i), Incarnation: a.incarnation}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*guard.Guard, error) {
+		return &guard.Guard{
+			Upstream: s.Upstream,
+			Gate:     do.MustInvoke[*ramp.Gate](i),
+			Ledger:   do.MustInvoke[*ledger.Ledger](i),
+			Engine:   do.MustInvoke[core.Engine](i),
+			Recorder: &claim.Claims{
+				Store:  do.MustInvoke[core.Store](i),
+				Clock:  do.MustInvoke[core.Clock](i),
+				Writer: fmt.Sprintf("%s/%x", s.Instance, a.incarnation),
+			},
+			Logger: a.Logger,
+			Base:   base,
+		}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*spread.Node, error) {
+		return &spread.Node{
+			Self:        core.Instance{Name: s.Instance, Role: core.RoleAgent, Zone: s.Zone, Peer: s.Listen},
+			Store:       do.MustInvoke[core.Store](i),
+			Lister:      &objapi.Lister{Addr: s.Platform.Address, Timeout: s.Platform.Timeout.Duration},
+			Clock:       do.MustInvoke[core.Clock](i),
+			Seeds:       s.Seeds,
+			Peers:       spread.NewHTTPPeers(s.Key, 0),
+			Key:         s.Key,
+			Incarnation: a.incarnation,
+			Logger:      a.Logger,
+			Load:        func() *wire.Load { return codec.LoadToWire(a.gate.Load("")) },
+			OnChange:    a.configure,
+		}, nil
+	})
+	a.gate = do.MustInvoke[*ramp.Gate](i)
+	a.ledger = do.MustInvoke[*ledger.Ledger](i)
+	a.engine = do.MustInvoke[core.Engine](i)
+	a.guard = do.MustInvoke[*guard.Guard](i)
+	a.node = do.MustInvoke[*spread.Node](i)
+}
+
+// newEngine makes the adapter that the settings select.
+func newEngine(s Engine) core.Engine {
+	if s.Kind == "plain" {
+		return &engine.Plain{Addr: s.Address}
+	}
+	return &engine.Engine{Addr: s.Address}
+}
+
+// configure sets the gate from the objects in force.
+func (a *Agent) configure([]core.Object) {
+	table, errs := rules.Compile(a.node.Objects())
+	for _, err := range errs {
+		_ = level.Warn(a.Logger).Log("msg", "object left out", "err", err.Error())
+	}
+	u := table.Upstream[a.Settings.Upstream]
+	if u == nil {
+		return
+	}
+	a.gate.Configure(ramp.Config{Limit: u.Limit, Cold: u.Cold, Step: u.Step, Share: u.Share, Out: u.Out})
+}
+
+func (a *Agent) app() *fiber.App {
+	app := fiber.New(fiber.Config{
+		AppName:     "parsleyroute agent",
+		BodyLimit:   frame.MaxBody + (1 << 20),
+		IdleTimeout: time.Minute,
+		Concurrency: 1 << 20,
+	})
+	app.Post(links.DispatchPath, a.dispatch)
+	server.Twirp(app, wire.ConfigPathPrefix, a.node.Handler())
+	server.Twirp(app, wire.UpstreamPathPrefix, spread.RequirePeerKey(a.Settings.Key, wire.NewUpstreamServer(upstreamService{a})))
+	server.Debug(app)
+	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	return app
+}
+
+// dispatch serves one dispatch of an entry.
+func (a *Agent) dispatch(c fiber.Ctx) error {
+	if !spread.PeerKeyMatches(a.Settings.Key, c.Get(spread.PeerKeyHeader)) {
+		meter.Refusal(core.ReasonPeerUnauthorized)
+		return c.SendStatus(http.StatusUnauthorized)
+	}
+	// The body is kept after the handler returns.
+	p := append([]byte(nil), c.Body()...)
+	d, body, err := frame.DecodeDispatch(p)
+	if err != nil {
+		meter.Refusal(core.ReasonBadRequest)
+		return c.Status(http.StatusBadRequest).SendString(trace.UserMessage(err))
+	}
+	conn := c.RequestCtx().Conn()
+	c.RequestCtx().SetBodyStreamWriter(func(w *bufio.Writer) { a.guard.Serve(conn, w, d, body) })
+	return nil
+}
+
+// followReports reads the upstream's load reports and returns the ramp to cold
+// when the upstream has restarted.
+func (a *Agent) followReports(ctx context.Context) {
+	for {
+		report, err := a.engine.Report(ctx)
+		if trace.IsNotImplemented(err) {
+			return
+		}
+		if err == nil && report.Incarnation != a.seen {
+			if a.seen != 0 {
+				a.gate.Cool()
+			}
+			a.seen = report.Incarnation
+		}
+		if (clock.Real{}).Sleep(ctx, reportPeriod) != nil {
+			return
+		}
+	}
+}
+
+// drain refuses new requests, waits for those in flight and for the outcomes
+// of claimed requests, and closes the server.
+func (a *Agent) drain(srv *server.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), a.Settings.Drain.Or(conf.DefaultDrain))
+	defer cancel()
+	idle := a.gate.Drain()
+	// Entries learn that the agent drains from its refusals; without the pause
+	// they would meet a closed port instead.
+	_ = clock.Real{}.Sleep(ctx, a.Settings.Grace.Or(conf.DefaultGrace))
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		return trace.LimitExceeded("requests were still in flight after the drain time")
+	}
+	if err := a.guard.Close(ctx); err != nil {
+		return err
+	}
+	return srv.Close(ctx)
+}
--- /dev/null
+++ b/bench/load/scenario.go
@@ -0,0 +1,75 @@
+package load
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"parsleyroute.example/core/process/conf"
+)
+
+// Scenario describes one run.
+type Scenario struct {
+	Name string `toml:"name"`
+	// Seed makes the sequence of requests repeatable.
+	Seed uint64 `toml:"seed"`
+	// Warmup is load before the measurement; Length is the measured time.
+	Warmup conf.Duration `toml:"warmup"`
+	Length conf.Duration `toml:"length"`
+	// Targets are the addresses that take the load in turn.
+	Targets []netip.AddrPort `toml:"targets"`
+	Streams []Stream         `toml:"stream"`
+	Events  []Event          `toml:"event"`
+	// Window is the length of the time slots of the report; default 1s.
+	Window conf.Duration `toml:"window"`
+}
+
+// Stream is a class of requests.
+type Stream struct {
+	Name    string            `toml:"name"`
+	Method  string            `toml:"method"`
+	Path    string            `toml:"path"`
+	Headers map[string]string `toml:"headers"`
+	// Rate is the number of requests a second.
+	Rate float64 `toml:"rate"`
+	// Size is the mean body size in bytes; sizes are exponentially distributed
+	// unless Fixed is set.
+	Size  int  `toml:"size"`
+	Fixed bool `toml:"fixed"`
+	// Body replaces the generated body.
+	Body string `toml:"body"`
+	// Keyed adds an idempotency key of its own to each request.
+	Keyed bool `toml:"keyed"`
+}
+
+// Event is an HTTP request that is sent at a time of the run, for example an
+// operator's order or a fault.
+type Event struct {
+	Name    string            `toml:"name"`
+	At      conf.Duration     `toml:"at"`
+	Method  string            `toml:"method"`
+	URL     string            `toml:"url"`
+	Headers map[string]string `toml:"headers"`
+	Body    string            `toml:"body"`
+}
+
+// Check reports the first setting that is missing or out of range.
+func (s *Scenario) Check() error {
+	if len(s.Targets) == 0 || len(s.Streams) == 0 || s.Length.Duration <= 0 {
+		return trace.BadParameter("scenario %q needs targets, a stream and a length", s.Name)
+	}
+	for _, t := range s.Targets {
+		if !t.Addr().IsLoopback() {
+			return trace.BadParameter("target %s is not a loopback address", t)
+		}
+	}
+	for _, st := range s.Streams {
+		if st.Rate <= 0 || st.Path == "" {
+			return trace.BadParameter("stream %q needs a rate and a path", st.Name)
+		}
+	}
+	return nil
+}
+
+func (s *Scenario) window() time.Duration { return s.Window.Or(time.Second) }
--- a/core/process/ramp/warm.go
+++ b/core/process/ramp/warm.go
@@ -17,6 +17,8 @@
 	minService = 5 * time.Millisecond
 	// baselineGain is the weight of a new service time in the baseline.
 	baselineGain = 0.05
+	// coldGain is the weight of a slow service time at the cold limit.
+	coldGain = 0.01
 )
 
 // warmth is the state of the ramp. It is not safe for concurrent use.
@@ -55,6 +57,15 @@
 		s.overloaded(cfg.Cold)
 		return true
 	}
+	if service > slowFactor*s.baseline {
+		// A slow answer shows no room for more. It moves the baseline only
+		// at the cold limit, where nothing is left to cut: otherwise a service
+		// that has become slower for good would never be warm again.
+		if s.limit <= cfg.Cold {
+			s.baseline += time.Duration(coldGain * float64(service-s.baseline))
+		}
+		return false
+	}
 	s.baseline += time.Duration(baselineGain * float64(service-s.baseline))
 	if slot.atLimit {
 		s.clean++
--- a/core/process/spread/key.go
+++ b/core/process/spread/key.go
@@ -14,13 +14,17 @@
 // PeerKeyHeader carries the key that our processes share.
 const PeerKeyHeader = "X-Peer-Key"
 
-// RequirePeerKey refuses calls without the peer key. The comparison takes the
-// same time for all keys. An empty key refuses every call.
+// PeerKeyMatches compares a key with the peer key. The comparison takes the same
+// time for all keys. An empty peer key matches nothing.
+func PeerKeyMatches(key, got string) bool {
+	a, b := sha256.Sum256([]byte(key)), sha256.Sum256([]byte(got))
+	return subtle.ConstantTimeCompare(a[:], b[:]) == 1 && key != ""
+}
+
+// RequirePeerKey refuses calls without the peer key.
 func RequirePeerKey(key string, next http.Handler) http.Handler {
-	want := sha256.Sum256([]byte(key))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		got := sha256.Sum256([]byte(r.Header.Get(PeerKeyHeader)))
-		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 || key == "" {
+		if !PeerKeyMatches(key, r.Header.Get(PeerKeyHeader)) {
 			meter.Refusal(core.ReasonPeerUnauthorized)
 			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("peer key is missing or wrong"))
 			return
--- a/core/request/ledger/ledger.go
+++ b/core/request/ledger/ledger.go
@@ -30,8 +30,9 @@
 }
 
 type id struct {
-	key    string
-	number uint32
+	key         string
+	number      uint32
+	incarnation uint64
 }
 
 type record struct {
@@ -41,18 +42,17 @@
 }
 
 // Begin records that the attempt is about to be sent to the upstream. It
-// refuses an attempt that is already known or was addressed to another
-// incarnation.
+// refuses an attempt that is already known. An attempt that was addressed to an
+// earlier incarnation becomes a tombstone: an entry sends each attempt once, so
+// the earlier incarnation has not got it.
 func (l *Ledger) Begin(a *wire.Attempt) *core.Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.sweep()
 	if a.GetIncarnation() != l.Incarnation {
-		return &core.Refusal{
-			Reason: core.ReasonIncarnation, Run: core.RunUnknown,
-			Message: "the attempt was addressed to an earlier incarnation of the agent",
-		}
+		l.put(a, &record{state: wire.AttemptState_ATTEMPT_STATE_TOMBSTONE})
+		return core.Refuse(core.ReasonIncarnation, "the attempt was addressed to an earlier incarnation of the agent")
 	}
-	l.sweep()
 	if r := l.records[key(a)]; r != nil {
 		if r.state == wire.AttemptState_ATTEMPT_STATE_TOMBSTONE {
 			return core.Refuse(core.ReasonTombstone, "the attempt was given up before it arrived")
@@ -88,7 +88,21 @@
 	}
 }
 
-// Query returns the state of an attempt. It is unknown for another incarnation.
+// Refuse records that a dispatch of the attempt arrived and was refused before
+// Begin. It returns the state after that: a tombstone, unless the attempt was
+// already begun.
+func (l *Ledger) Refuse(a *wire.Attempt) (wire.AttemptState, *wire.Answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.records[key(a)]; r != nil {
+		return r.state, r.answer
+	}
+	l.put(a, &record{state: wire.AttemptState_ATTEMPT_STATE_TOMBSTONE})
+	return wire.AttemptState_ATTEMPT_STATE_TOMBSTONE, nil
+}
+
+// Query returns the state of an attempt. It is unknown if the attempt was
+// addressed to an earlier incarnation and its dispatch has not arrived here.
 func (l *Ledger) Query(a *wire.Attempt) (wire.AttemptState, *wire.Answer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -96,12 +110,12 @@
 }
 
 func (l *Ledger) query(a *wire.Attempt) (wire.AttemptState, *wire.Answer) {
-	if a.GetIncarnation() != l.Incarnation {
-		return wire.AttemptState_ATTEMPT_STATE_UNKNOWN, nil
-	}
 	if r := l.records[key(a)]; r != nil {
 		return r.state, r.answer
 	}
+	if a.GetIncarnation() != l.Incarnation {
+		return wire.AttemptState_ATTEMPT_STATE_UNKNOWN, nil
+	}
 	return wire.AttemptState_ATTEMPT_STATE_ABSENT, nil
 }
 
@@ -144,4 +158,6 @@
 	}
 }
 
-func key(a *wire.Attempt) id { return id{key: a.GetKey(), number: a.GetNumber()} }
+func key(a *wire.Attempt) id {
+	return id{key: a.GetKey(), number: a.GetNumber(), incarnation: a.GetIncarnation()}
+}
--- a/entry/flow/dispatch.go
+++ b/entry/flow/dispatch.go
@@ -52,7 +52,8 @@
 	}
 	p.link.Worked()
 	a := &Answer{Status: int(head.GetHead().GetStatus()), Headers: codec.HeadersFromWire(head.GetHead().GetHeaders())}
-	b := &body{router: r, trip: t, place: p, stream: s, stop: stop, resumable: head.GetHead().GetResumable()}
+	b := &body{router: r, trip: t, place: p, stream: s, stop: stop}
+	b.resumable = t.req.Repeatable && head.GetHead().GetResumable()
 	if isStream(a.Headers) {
 		if err := b.fill(); err != nil && !errors.Is(err, io.EOF) {
 			return nil, err
--- a/entry/flow/router.go
+++ b/entry/flow/router.go
@@ -13,6 +13,7 @@
 	"parsleyroute.example/core/conn/pool"
 	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/core/request/admit"
+	"parsleyroute.example/core/request/claim"
 	"parsleyroute.example/core/request/picker"
 	"parsleyroute.example/core/request/retry"
 )
@@ -44,7 +45,7 @@
 	// picker.DefaultSubset.
 	Subset int
 	Logger log.Logger
-	Claims Claims
+	Claims *claim.Claims
 
 	journal Journal
 	mu      sync.Mutex
--- a/entry/flow/trip.go
+++ b/entry/flow/trip.go
@@ -137,10 +137,9 @@
 
 // noteFailure gives the failure a type and records it in the journal.
 func (r *Router) noteFailure(t *trip, p *place, err error) *core.Refusal {
-	refusal, ok := core.AsRefusal(err)
-	if !ok {
+	refusal := asRefusal(err)
+	if _, ok := core.AsRefusal(err); !ok {
 		p.link.Failed()
-		refusal = &core.Refusal{Reason: core.ReasonUpstreamLost, Run: core.RunUnknown, Message: "the agent of the upstream was lost"}
 	}
 	r.journal.update(t.record, func(rec *Record) {
 		last := &rec.Attempts[len(rec.Attempts)-1]
--- /dev/null
+++ b/entry/serve/doc.go
@@ -0,0 +1,2 @@
+// Package serve puts the parts of an entry together and runs them.
+package serve
--- /dev/null
+++ b/entry/serve/entry.go
@@ -0,0 +1,195 @@
+package serve
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gofiber/fiber/v3"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/links"
+	"parsleyroute.example/core/conn/pool"
+	"parsleyroute.example/core/conn/server"
+	"parsleyroute.example/core/process/clock"
+	"parsleyroute.example/core/process/conf"
+	"parsleyroute.example/core/process/objapi"
+	"parsleyroute.example/core/process/spread"
+	"parsleyroute.example/core/request/admit"
+	"parsleyroute.example/core/request/claim"
+	"parsleyroute.example/core/request/retry"
+	"parsleyroute.example/core/version/rules"
+	"parsleyroute.example/core/wire"
+	"parsleyroute.example/entry/flow"
+	"parsleyroute.example/entry/front"
+)
+
+// Entry is one entry process. Exported fields are set before Run.
+type Entry struct {
+	Settings Settings
+	Logger   log.Logger
+
+	clock    core.Clock
+	store    core.Store
+	node     *spread.Node
+	peers    *spread.HTTPPeers
+	router   *flow.Router
+	front    *front.Front
+	table    atomic.Pointer[core.Table]
+	draining atomic.Bool
+}
+
+// Run serves until ctx ends, then drains.
+func (e *Entry) Run(ctx context.Context) error {
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if err := e.build(base); err != nil {
+		return err
+	}
+	callers := &server.Server{App: e.callersApp(), Listen: e.Settings.Listen}
+	peers := &server.Server{App: e.peersApp(), Listen: e.Settings.Peer}
+	if err := errors.Join(callers.Start(), peers.Start()); err != nil {
+		return err
+	}
+	go func() { _ = e.node.Run(base) }()
+	go func() { _ = e.router.Run(base) }()
+	_ = level.Info(e.Logger).Log("msg", "listening", "callers", callers.Addr(), "peers", peers.Addr())
+	<-ctx.Done()
+	err := e.drain(callers, peers)
+	stop()
+	e.node.Close()
+	_ = level.Info(e.Logger).Log("msg", "ended", "err", err)
+	return err
+}
+
+// build wires the parts. base bounds all work of the process.
+func (e *Entry) build(base context.Context) error {
+	s := &e.Settings
+	i := do.New()
+	do.ProvideValue[core.Clock](i, clock.Real{})
+	do.ProvideValue(i, spread.NewHTTPPeers(s.Key, 0))
+	do.Provide(i, func(do.Injector) (core.Store, error) {
+		return &objapi.Store{Addr: s.Platform.Address, Timeout: s.Platform.Timeout.Duration}, nil
+	})
+	do.Provide(i, func(do.Injector) (core.Picker, error) { return newPicker(s.Picker, s.Zone) })
+	do.Provide(i, e.provideNode)
+	do.Provide(i, e.provideRouter)
+	do.Provide(i, func(i do.Injector) (*front.Front, error) {
+		return &front.Front{
+			Handler: do.MustInvoke[*flow.Router](i),
+			Table:   e.table.Load,
+			Clock:   do.MustInvoke[core.Clock](i),
+			Ready:   func() bool { return e.node.Synced() && e.table.Load() != nil && !e.draining.Load() },
+			Base:    base,
+		}, nil
+	})
+	e.clock = do.MustInvoke[core.Clock](i)
+	e.store = do.MustInvoke[core.Store](i)
+	e.peers = do.MustInvoke[*spread.HTTPPeers](i)
+	var err error
+	if e.front, err = do.Invoke[*front.Front](i); err != nil {
+		return err
+	}
+	e.router = do.MustInvoke[*flow.Router](i)
+	e.node = do.MustInvoke[*spread.Node](i)
+	e.router.Gauges()
+	return nil
+}
+
+func (e *Entry) provideNode(i do.Injector) (*spread.Node, error) {
+	s := &e.Settings
+	return &spread.Node{
+		Self:        core.Instance{Name: s.Instance, Role: core.RoleEntry, Zone: s.Zone, Peer: s.Peer},
+		Store:       do.MustInvoke[core.Store](i),
+		Lister:      &objapi.Lister{Addr: s.Platform.Address, Timeout: s.Platform.Timeout.Duration},
+		Clock:       do.MustInvoke[core.Clock](i),
+		Seeds:       s.Seeds,
+		Peers:       do.MustInvoke[*spread.HTTPPeers](i),
+		Key:         s.Key,
+		Incarnation: newIncarnation(),
+		Logger:      e.Logger,
+		OnChange:    e.apply,
+	}, nil
+}
+
+func (e *Entry) provideRouter(i do.Injector) (*flow.Router, error) {
+	s := &e.Settings
+	p, err := do.Invoke[core.Picker](i)
+	if err != nil {
+		return nil, err
+	}
+	c := do.MustInvoke[core.Clock](i)
+	unary := do.MustInvoke[*spread.HTTPPeers](i)
+	pooled := &pool.Keyed[netip.AddrPort, *links.Link]{New: func(a netip.AddrPort) *links.Link {
+		return (&links.Link{Addr: a, PeerKey: s.Key, Clock: c, HTTP: unary}).Open()
+	}}
+	return &flow.Router{
+		Self:    core.Instance{Name: s.Instance, Role: core.RoleEntry, Zone: s.Zone, Peer: s.Peer},
+		Clock:   c,
+		Table:   e.table.Load,
+		Links:   pooled,
+		Picker:  p,
+		Limiter: &admit.Limiter{Clock: c},
+		Budgets: &retry.Budgets{},
+		Subset:  s.Subset,
+		Logger:  e.Logger,
+		Claims: &claim.Claims{
+			Store:  do.MustInvoke[core.Store](i),
+			Agents: flow.Agents{Links: pooled},
+			Clock:  c,
+			Writer: fmt.Sprintf("%s/%x", s.Instance, newIncarnation()),
+		},
+	}, nil
+}
+
+func newIncarnation() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return max(1, binary.BigEndian.Uint64(b[:])>>1)
+}
+
+// apply puts changed objects in force.
+func (e *Entry) apply([]core.Object) {
+	table, errs := rules.Compile(e.node.Objects())
+	for _, err := range errs {
+		_ = level.Warn(e.Logger).Log("msg", "object left out", "err", err.Error())
+	}
+	entries := lo.CountBy(e.node.Instances(), func(i core.Instance) bool {
+		return i.Role == core.RoleEntry && !i.Leaving
+	})
+	e.table.Store(table)
+	e.router.Apply(table, max(entries, 1))
+}
+
+func (e *Entry) callersApp() *fiber.App {
+	app := fiber.New(front.Settings())
+	e.front.Register(app)
+	server.Debug(app)
+	return app
+}
+
+func (e *Entry) peersApp() *fiber.App {
+	app := fiber.New(fiber.Config{AppName: "parsleyroute entry peers", IdleTimeout: time.Minute, Immutable: true})
+	server.Twirp(app, wire.ConfigPathPrefix, e.node.Handler())
+	server.Debug(app)
+	return app
+}
+
+// drain reports not ready, goes on serving for the grace time so that the
+// balancer can notice, and then waits for the requests in flight.
+func (e *Entry) drain(callers, peers *server.Server) error {
+	e.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), e.Settings.Drain.Or(conf.DefaultDrain))
+	defer cancel()
+	_ = clock.Real{}.Sleep(ctx, e.Settings.Grace.Or(conf.DefaultGrace))
+	return errors.Join(callers.Close(ctx), peers.Close(ctx))
+}
--- /dev/null
+++ b/entry/serve/settings.go
@@ -0,0 +1,65 @@
+package serve
+
+import (
+	"encoding/hex"
+	"net/netip"
+
+	"github.com/gravitational/trace"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/conf"
+	"parsleyroute.example/core/request/picker"
+)
+
+// Settings are an entry's settings.
+type Settings struct {
+	conf.Node
+	// Listen is the address for callers and operators, Peer the one for peers.
+	Listen netip.AddrPort `toml:"listen"`
+	Peer   netip.AddrPort `toml:"peer"`
+	// Operators holds the SHA-256 of each operator key in hexadecimal.
+	Operators []string `toml:"operators"`
+	// Subset is the number of upstreams of each service to which the entry
+	// keeps connections; default 16.
+	Subset int `toml:"subset"`
+	// Picker is choices (default), or a baseline for experiments: robin, random
+	// or least.
+	Picker string `toml:"picker"`
+}
+
+// Check reports the first setting that is missing or out of range.
+func (s *Settings) Check() error {
+	if err := s.Node.Check(); err != nil {
+		return err
+	}
+	if err := conf.Address("listen", s.Listen); err != nil {
+		return err
+	}
+	if err := conf.Address("peer", s.Peer); err != nil {
+		return err
+	}
+	for _, key := range s.Operators {
+		if b, err := hex.DecodeString(key); err != nil || len(b) != 32 {
+			return trace.BadParameter("setting operators: %q is not a SHA-256 in hexadecimal", key)
+		}
+	}
+	if s.Subset < 0 {
+		return trace.BadParameter("setting subset must not be negative")
+	}
+	_, err := newPicker(s.Picker, s.Zone)
+	return err
+}
+
+func newPicker(name, zone string) (core.Picker, error) {
+	switch name {
+	case "", "choices":
+		return &picker.TwoChoices{Zone: zone}, nil
+	case "robin":
+		return &picker.RoundRobin{}, nil
+	case "random":
+		return &picker.Random{}, nil
+	case "least":
+		return &picker.LeastLoaded{}, nil
+	}
+	return nil, trace.BadParameter("setting picker: %q is not choices, robin, random or least", name)
+}
--- /dev/null
+++ b/fakes/system/harness_test.go
@@ -0,0 +1,344 @@
+package system_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/objapi"
+	"parsleyroute.example/core/version/decl"
+)
+
+const (
+	peerKey     = "peer-key-of-the-tests"
+	operatorKey = "operator-key-of-the-tests"
+)
+
+// ports hands out loopback ports below the ephemeral range, so that outgoing
+// connections never take them. The range depends on the process, because test
+// packages run side by side.
+var ports = struct {
+	sync.Mutex
+	next int
+}{next: 12000 + os.Getpid()%100*180}
+
+func freePort() netip.AddrPort {
+	ports.Lock()
+	defer ports.Unlock()
+	for {
+		ports.next++
+		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(ports.next))
+		if ln, err := net.Listen("tcp", addr.String()); err == nil {
+			_ = ln.Close()
+			return addr
+		}
+	}
+}
+
+// process is a program under test.
+type process struct {
+	name string
+	args []string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+}
+
+// program starts a program of .out/bin and ends it with the spec.
+func program(dir, name string, args ...string) *process {
+	p := &process{name: name, args: args}
+	p.start(dir)
+	DeferCleanup(p.kill)
+	return p
+}
+
+func (p *process) start(dir string) {
+	bin, err := filepath.Abs("../../.out/bin/" + p.args[0])
+	Expect(err).NotTo(HaveOccurred())
+	p.log, err = os.OpenFile(filepath.Join(dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	Expect(err).NotTo(HaveOccurred())
+	p.cmd = exec.Command(bin, p.args[1:]...)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	Expect(p.cmd.Start()).To(Succeed(), "run scripts/build.sh first")
+	p.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) { _ = cmd.Wait(); close(done) }(p.cmd, p.done)
+}
+
+// kill ends the process at once, also if it is stopped.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+	_ = p.log.Close()
+}
+
+func (p *process) signal(s syscall.Signal) { Expect(p.cmd.Process.Signal(s)).To(Succeed()) }
+
+// ended reports whether the process ends within d.
+func (p *process) ended(d time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
+// shape is the size of a cluster under test.
+type shape struct {
+	zones            []string
+	entries          int // in each zone
+	engines          int // in each zone, of service "model"
+	plains           int // in each zone, of service "desk"
+	limit, cold      int
+	step             int
+	engineArgs       []string
+	plainArgs        []string
+	throughProxy     bool
+	extraDeclaration string
+}
+
+// node is an entry or an agent under test.
+type node struct {
+	*process
+	name, zone string
+	listen     netip.AddrPort // callers (entry) or dispatches (agent)
+	peer       netip.AddrPort
+	backend    netip.AddrPort // the agent's upstream
+	upstream   string
+	engine     *process
+}
+
+// cluster is a whole system of real processes.
+type cluster struct {
+	dir      string
+	shape    shape
+	platform *process
+	platAddr netip.AddrPort
+	store    *objapi.Store
+	entries  []*node
+	agents   []*node
+	client   *http.Client
+}
+
+func newCluster(s shape) *cluster {
+	dir, err := os.MkdirTemp("", "parsleyroute")
+	Expect(err).NotTo(HaveOccurred())
+	c := &cluster{dir: dir, shape: s, platAddr: freePort(), client: &http.Client{
+		Timeout:   30 * time.Second,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 512},
+	}}
+	DeferCleanup(func() {
+		if CurrentSpecReport().Failed() {
+			GinkgoWriter.Printf("logs are in %s\n", dir)
+			return
+		}
+		_ = os.RemoveAll(dir)
+	})
+	c.platform = program(dir, "platform", "fakes", "platform", "--listen", c.platAddr.String())
+	c.store = &objapi.Store{Addr: c.platAddr}
+	c.waitOpen(c.platAddr)
+	c.startNodes()
+	c.declare()
+	for _, e := range c.entries {
+		c.waitOpen(e.listen)
+		Eventually(func() int { return c.status(e.listen, "/readyz") }, "10s", "20ms").Should(Equal(200))
+	}
+	for _, a := range c.agents {
+		c.waitOpen(a.listen)
+	}
+	return c
+}
+
+func (c *cluster) startNodes() {
+	for _, zone := range c.shape.zones {
+		for i := range c.shape.engines {
+			c.addAgent(zone, "model", "engine", i, c.shape.engineArgs)
+		}
+		for i := range c.shape.plains {
+			c.addAgent(zone, "desk", "plain", i, c.shape.plainArgs)
+		}
+		for i := range c.shape.entries {
+			c.addEntry(zone, i)
+		}
+	}
+}
+
+func (c *cluster) addAgent(zone, service, kind string, i int, args []string) {
+	n := &node{
+		name: fmt.Sprintf("agent-%s-%s-%d", service, zone, i), zone: zone,
+		listen: freePort(), backend: freePort(), upstream: fmt.Sprintf("%s-%s-%d", service, zone, i),
+	}
+	n.peer = n.listen
+	n.engine = program(c.dir, n.upstream, append([]string{"fakes", kind, "--listen", n.backend.String()}, args...)...)
+	c.waitOpen(n.backend)
+	path := c.settings(n, fmt.Sprintf("listen = %q\nupstream = %q\n", n.listen, n.upstream),
+		fmt.Sprintf("[engine]\nkind = %q\naddress = %q\n", kind, n.backend))
+	n.process = program(c.dir, n.name, "agent", "--settings", path)
+	c.agents = append(c.agents, n)
+	c.list(n, core.RoleAgent, false)
+}
+
+func (c *cluster) addEntry(zone string, i int) *node {
+	n := &node{name: fmt.Sprintf("entry-%s-%d", zone, i), zone: zone, listen: freePort(), peer: freePort()}
+	sum := sha256.Sum256([]byte(operatorKey))
+	path := c.settings(n, fmt.Sprintf("listen = %q\npeer = %q\noperators = [%q]\n", n.listen, n.peer, hex.EncodeToString(sum[:])), "")
+	n.process = program(c.dir, n.name, "entry", "--settings", path)
+	c.entries = append(c.entries, n)
+	c.list(n, core.RoleEntry, false)
+	return n
+}
+
+func (c *cluster) settings(n *node, top, bottom string) string {
+	text := fmt.Sprintf("instance = %q\nzone = %q\nkey = %q\ngrace = \"500ms\"\ndrain = \"20s\"\n%s[platform]\naddress = %q\ntimeout = \"1s\"\n%s",
+		n.name, n.zone, peerKey, top, c.platAddr, bottom)
+	path := filepath.Join(c.dir, n.name+".toml")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+// list puts an instance into the platform's list.
+func (c *cluster) list(n *node, role core.Role, leaving bool) {
+	c.control(c.platAddr, http.MethodPut, "/control/instances", map[string]any{
+		"name": n.name, "role": role, "zone": n.zone, "peer": n.peer, "leaving": leaving,
+	})
+}
+
+// declare writes the declarations of the shape: team keys are the names of the
+// teams.
+func (c *cluster) declare() {
+	var b bytes.Buffer
+	for _, z := range c.shape.zones {
+		fmt.Fprintf(&b, "[[zone]]\nname = %q\nregion = \"r\"\nlabels = {zone = %q}\n", z, z)
+	}
+	b.WriteString("[[service]]\nname = \"model\"\ntimeout = \"20s\"\nretry = 0.2\nroutes = [{prefix = \"/\", repeatable = true}]\n")
+	b.WriteString("[[service]]\nname = \"desk\"\ntimeout = \"20s\"\nroutes = [{prefix = \"/orders\", method = \"POST\", repeatable = false}, {prefix = \"/lookup\", repeatable = true}]\n")
+	for _, a := range c.agents {
+		service := "model"
+		if a.upstream[:4] == "desk" {
+			service = "desk"
+		}
+		fmt.Fprintf(&b, "[[upstream]]\nname = %q\nservice = %q\nzone = %q\nagent = %q\nlimit = %d\ncold = %d\nstep = %d\nlabels = {service = %q, zone = %q}\n",
+			a.upstream, service, a.zone, a.listen, c.shape.limit, c.shape.cold, max(c.shape.step, 1), service, a.zone)
+	}
+	for _, t := range []string{"small", "large"} {
+		sum := sha256.Sum256([]byte(t))
+		fmt.Fprintf(&b, "[[team]]\nname = %q\nkeys = [%q]\npriority = 5\n", t, hex.EncodeToString(sum[:]))
+	}
+	b.WriteString(c.shape.extraDeclaration)
+	c.apply(b.String())
+}
+
+// apply creates the declarations of a TOML text in the store.
+func (c *cluster) apply(text string) {
+	list, err := decl.Parse("test.toml", []byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	for _, d := range list {
+		value, err := decl.Marshal(d)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.store.Create(context.Background(), core.Object{Key: d.Key(), Writer: "test", Nonce: d.Key().Name, Value: value})
+		Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+func (c *cluster) waitOpen(addr netip.AddrPort) {
+	Eventually(func() error {
+		conn, err := net.Dial("tcp", addr.String())
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	}, "10s", "10ms").Should(Succeed())
+}
+
+func (c *cluster) status(addr netip.AddrPort, path string) int {
+	resp, err := c.client.Get("http://" + addr.String() + path)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// control sends JSON to a control endpoint of a stand-in.
+func (c *cluster) control(addr netip.AddrPort, method, path string, v any) {
+	p, err := json.Marshal(v)
+	Expect(err).NotTo(HaveOccurred())
+	req, err := http.NewRequest(method, "http://"+addr.String()+path, bytes.NewReader(p))
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := c.client.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	Expect(resp.StatusCode).To(BeNumerically("<", 300), string(body))
+}
+
+// stats reads a JSON endpoint of a stand-in into v.
+func (c *cluster) stats(addr netip.AddrPort, path string, v any) {
+	resp, err := c.client.Get("http://" + addr.String() + path)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	Expect(json.NewDecoder(resp.Body).Decode(v)).To(Succeed())
+}
+
+// call is one caller's request.
+type call struct {
+	entry   *node
+	team    string
+	method  string
+	path    string // below /v1/services/
+	body    string
+	headers map[string]string
+}
+
+// result is what the caller got. err is set if the answer was not whole.
+type result struct {
+	status int
+	header http.Header
+	body   []byte
+	reason string
+	run    string
+	err    error
+	took   time.Duration
+}
+
+func (c *cluster) do(in call) result {
+	start := time.Now()
+	req, err := http.NewRequest(in.method, "http://"+in.entry.listen.String()+"/v1/services/"+in.path, bytes.NewReader([]byte(in.body)))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+in.team)
+	for k, v := range in.headers {
+		req.Header.Set(k, v)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return result{err: err, took: time.Since(start)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	r := result{status: resp.StatusCode, header: resp.Header}
+	r.body, r.err = io.ReadAll(resp.Body)
+	r.took = time.Since(start)
+	var e struct {
+		Error struct{ Reason, Run string }
+	}
+	if json.Unmarshal(r.body, &e) == nil {
+		r.reason, r.run = e.Error.Reason, e.Error.Run
+	}
+	return r
+}
