--- /dev/null
+++ b/core/request/picker/subset_test.go
@@ -0,0 +1,66 @@
+package picker_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/request/picker"
+)
+
+// Guards against upstreams that get no or many more entries than others of
+// their zone, and against subsets that leave the own zone without need.
+func TestSubsetSpreadsEvenly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.IntRange(1, 3).Draw(t, "zones")
+		n := rapid.IntRange(12, 100).Draw(t, "upstreams")
+		size := rapid.SampledFrom([]int{0, 4, 16}).Draw(t, "size")
+		var ups []*core.UpstreamState
+		local := 0
+		for i := range n {
+			u := core.Upstream{Name: fmt.Sprint("u", i), Zone: fmt.Sprint("z", i%zones)}
+			out := rapid.IntRange(0, 9).Draw(t, "out") == 0
+			ups = append(ups, &core.UpstreamState{Upstream: u, Out: out})
+			if !out && u.Zone == "z0" {
+				local++
+			}
+		}
+		entries := make([]string, rapid.IntRange(2, 64).Draw(t, "entries"))
+		for i := range entries {
+			entries[i] = fmt.Sprint("e", i)
+		}
+		taken := map[string]int{}
+		for _, e := range entries {
+			chosen := picker.Subset("s", e, "z0", ups, size, entries...)
+			remote := 0
+			for _, u := range chosen {
+				if u.Out {
+					t.Fatalf("upstream %s is out", u.Name)
+				}
+				if u.Zone != "z0" {
+					remote++
+					continue
+				}
+				taken[u.Name]++
+			}
+			want := size
+			if want == 0 {
+				want = picker.DefaultSubset
+			}
+			if remote > max(want/4, want-local) {
+				t.Fatalf("%d of other zones with %d local ones", remote, local)
+			}
+		}
+		lo, hi := len(entries), 0
+		for _, u := range ups {
+			if u.Zone == "z0" && !u.Out {
+				lo, hi = min(lo, taken[u.Name]), max(hi, taken[u.Name])
+			}
+		}
+		if local > 0 && (hi-lo > 1 || lo < 2) {
+			t.Fatalf("upstreams of one zone have %d to %d entries", lo, hi)
+		}
+	})
+}
