--- /dev/null
+++ b/core/request/claim/claim_test.go
@@ -0,0 +1,192 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/clock"
+	"parsleyroute.example/core/request/claim"
+	_ "parsleyroute.example/core/suite/seed"
+	"parsleyroute.example/core/wire"
+)
+
+func (w *world) request(key string, body uint64, first int, moves bool) (claim.Request, *string) {
+	w.ids++
+	r := claim.Request{Service: "s", Team: "t", Key: key, RequestID: fmt.Sprint("r", w.ids), BodyHash: body}
+	end := new(string)
+	w.spawn(nil, func() { w.entry(r, first, moves, end) })
+	return r, end
+}
+
+// settleAll ends the faults and lets everything run to its end.
+func (w *world) settleAll() {
+	w.down = false
+	for _, f := range w.late {
+		f()
+	}
+	w.late = nil
+	w.check()
+	for len(w.procs) > 0 {
+		for _, p := range append([]*proc(nil), w.procs...) {
+			w.step(p, deliver)
+		}
+	}
+}
+
+// Guards against requests that run twice, refusals that wrongly say "run: no",
+// answers of another request, and keys that stay blocked after faults have
+// ended, under any order of lost, late and crossed messages, store outages,
+// restarts and crashes.
+func TestClaimModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		defer func() { w.killAll(func(*proc) bool { return true }) }()
+		fates := []fate{deliver, deliver, deliver, deliver, deliver, deliver, loseRequest, loseReply, delay}
+		keys := []string{"j", "k"}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			action := rapid.IntRange(0, 29).Draw(t, "action")
+			switch {
+			case action < 2 || len(w.procs) == 0:
+				w.request(rapid.SampledFrom(keys).Draw(t, "key"), rapid.SampledFrom([]uint64{1, 1, 1, 2}).Draw(t, "body"),
+					rapid.IntRange(0, 1).Draw(t, "agent"), rapid.Bool().Draw(t, "moves"))
+			case action == 2:
+				w.down = !w.down
+			case action == 3:
+				w.restart(w.agents[rapid.IntRange(0, 1).Draw(t, "restart")])
+			case action == 4:
+				p := w.procs[rapid.IntRange(0, len(w.procs)-1).Draw(t, "crash")]
+				if p.home != nil {
+					w.restart(p.home)
+				} else {
+					w.step(p, crash)
+				}
+			case action < 8 && len(w.late) > 0:
+				i := rapid.IntRange(0, len(w.late)-1).Draw(t, "late")
+				f := w.late[i]
+				w.late = append(w.late[:i:i], w.late[i+1:]...)
+				f()
+				w.check()
+			default:
+				w.step(w.procs[rapid.IntRange(0, len(w.procs)-1).Draw(t, "proc")], rapid.SampledFrom(fates).Draw(t, "fate"))
+			}
+		}
+		w.settleAll()
+		for _, key := range keys {
+			r, end := w.request(key, 1, 0, true)
+			w.settleAll()
+			obj, ok := w.objs[core.Key{Kind: core.KindClaim, Name: claim.Name("s", "t", key)}]
+			c := &wire.Claim{}
+			if !ok || proto.Unmarshal(obj.Value, c) != nil {
+				t.Fatalf("key %s has no claim after request %s", key, r.RequestID)
+			}
+			switch {
+			case c.GetBodyHash() != 1:
+				if *end != "conflict" {
+					t.Fatalf("key %s: %s for another body", key, *end)
+				}
+			case c.GetAnswer() != nil:
+				if *end != "answer" {
+					t.Fatalf("key %s: %s although an answer is recorded", key, *end)
+				}
+			case w.restarts == 0 && c.GetState() != wire.ClaimState_CLAIM_STATE_DONE:
+				t.Fatalf("key %s stays %s", key, *end)
+			}
+		}
+	})
+}
+
+// Guards against claims over the store's limit on values.
+func TestShortenBoundsAnswers(t *testing.T) {
+	g := NewWithT(t)
+	small := &wire.Answer{Status: 200, Body: make([]byte, 1000)}
+	g.Expect(claim.Shorten(small)).To(BeIdenticalTo(small))
+	long := claim.Shorten(&wire.Answer{Status: 201, Body: make([]byte, claim.MaxAnswer+1), Headers: []*wire.Header{{Name: "a"}}})
+	g.Expect(long.GetTruncated()).To(BeTrue())
+	g.Expect(long.GetBody()).To(BeEmpty())
+	g.Expect(long.GetHeaders()).To(HaveLen(1))
+	f := &claim.Found{State: claim.StateAnswer, Answer: long}
+	g.Expect(f.Refusal().Run).To(Equal(core.RunYes))
+	g.Expect(claim.Shorten(&wire.Answer{Headers: []*wire.Header{{Value: string(make([]byte, claim.MaxAnswer+1))}}}).GetHeaders()).To(BeEmpty())
+}
+
+// Guards against two requests that share a claim by how their parts join.
+func TestNamesDoNotCollide(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(claim.Name("a", "bc", "d")).NotTo(Equal(claim.Name("ab", "c", "d")))
+	g.Expect(claim.Hash("POST", "/a", []byte("b"))).NotTo(Equal(claim.Hash("POST", "/ab", nil)))
+}
+
+// listed is a store with old and new claims that changes one while it is swept.
+type listed struct {
+	core.Store
+	objs    map[string]core.Object
+	deletes []time.Time
+	clock   core.Clock
+}
+
+func (s *listed) List(context.Context, ...core.Kind) ([]core.Object, uint64, error) {
+	var all []core.Object
+	for _, o := range s.objs {
+		all = append(all, o)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	changed := s.objs["moved"]
+	changed.Version++
+	s.objs["moved"] = changed
+	return all, 0, nil
+}
+
+func (s *listed) Delete(_ context.Context, o core.Object) (core.Object, error) {
+	s.deletes = append(s.deletes, s.clock.Now())
+	if len(s.deletes) == 1 {
+		return o, trace.LimitExceeded("slow down")
+	}
+	if s.objs[o.Name].Version != o.Version {
+		return o, trace.CompareFailed("version")
+	}
+	delete(s.objs, o.Name)
+	return o, nil
+}
+
+// jump is a clock that moves on when it is slept on.
+type jump struct{ *clock.Manual }
+
+func (j jump) Sleep(_ context.Context, d time.Duration) error {
+	j.Advance(d)
+	return nil
+}
+
+// Guards against the removal of claims that are young or in use, and against a
+// sweep that takes the store's write rate.
+func TestSweepRemovesOldClaimsSlowly(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1e9, 0)
+	c := jump{clock.NewManual(now)}
+	s := &listed{objs: map[string]core.Object{}, clock: c}
+	put := func(name string, age time.Duration) {
+		v, err := proto.Marshal(&wire.Claim{CreatedUnix: now.Add(-age).Unix()})
+		g.Expect(err).NotTo(HaveOccurred())
+		s.objs[name] = core.Object{Key: core.Key{Kind: core.KindClaim, Name: name}, Version: 1, Value: v}
+	}
+	for i := range 5 {
+		put(fmt.Sprint("old", i), 25*time.Hour)
+	}
+	put("young", 23*time.Hour)
+	put("moved", 25*time.Hour)
+	n, err := (&claim.Sweeper{Store: s, Clock: c, Rate: 10}).Sweep(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n).To(Equal(5))
+	g.Expect(s.objs).To(And(HaveLen(2), HaveKey("young"), HaveKey("moved")))
+	for i := 1; i < len(s.deletes); i++ {
+		g.Expect(s.deletes[i].Sub(s.deletes[i-1])).To(BeNumerically(">=", 99*time.Millisecond))
+	}
+}
