--- a/core/errors.go
+++ b/core/errors.go
@@ -47,6 +47,7 @@
 	ReasonAnswerNotRecorded  Reason = "answer_not_recorded"
 	ReasonPeerUnauthorized   Reason = "peer_unauthorized"
 	ReasonOperatorUnverified Reason = "operator_unverified"
+	ReasonConflict           Reason = "conflict"
 )
 
 // Refusal is the typed error of a request that got no answer.
--- a/core/version/decl/check.go
+++ b/core/version/decl/check.go
@@ -27,6 +27,7 @@
 type checker struct {
 	key     string
 	message string
+	version uint64
 }
 
 func (c *checker) fail(key, format string, args ...any) {
@@ -153,7 +154,7 @@
 	if !ok {
 		return trace.BadParameter("%T is not a declaration", d)
 	}
-	_, err := build("", nil, &doc)
+	_, _, err := build("", nil, &doc)
 	return err
 }
 
--- a/core/version/decl/decl_test.go
+++ b/core/version/decl/decl_test.go
@@ -111,6 +111,17 @@
 			`a.toml:3: key "service.routes"`),
 	)
 
+	// Guards against an edited copy that overwrites a newer object, and against
+	// store values that claim a version of their own.
+	It("reads the version of a copy, but not in the store", func() {
+		text := []byte("[[zone]]\nname=\"a\"\nversion=7")
+		ds, versions, err := decl.ParseVersions("a.toml", text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(versions).To(Equal(map[core.Key]uint64{ds[0].Key(): 7}))
+		_, err = decl.Unmarshal(ds[0].Key(), text)
+		Expect(trace.IsBadParameter(err)).To(BeTrue())
+	})
+
 	// Guards against sets that parse but cannot work.
 	It("finds faults between declarations", func() {
 		ds, err := decl.Parse("a.toml", []byte(`
--- a/core/version/decl/format.go
+++ b/core/version/decl/format.go
@@ -20,13 +20,15 @@
 }
 
 type zoneTable struct {
-	Name   string      `toml:"name"`
-	Region string      `toml:"region,omitempty"`
-	Labels core.Labels `toml:"labels,inline,omitempty"`
+	Name    string      `toml:"name"`
+	Version uint64      `toml:"version,omitempty"`
+	Region  string      `toml:"region,omitempty"`
+	Labels  core.Labels `toml:"labels,inline,omitempty"`
 }
 
 type serviceTable struct {
 	Name    string      `toml:"name"`
+	Version uint64      `toml:"version,omitempty"`
 	Timeout string      `toml:"timeout,omitempty"`
 	Queue   int         `toml:"queue,omitempty"`
 	Retry   float64     `toml:"retry,omitempty"`
@@ -42,6 +44,7 @@
 
 type upstreamTable struct {
 	Name    string      `toml:"name"`
+	Version uint64      `toml:"version,omitempty"`
 	Service string      `toml:"service"`
 	Zone    string      `toml:"zone"`
 	Agent   string      `toml:"agent"`
@@ -55,6 +58,7 @@
 
 type teamTable struct {
 	Name     string      `toml:"name"`
+	Version  uint64      `toml:"version,omitempty"`
 	Keys     []string    `toml:"keys,omitempty"`
 	Rate     float64     `toml:"rate,omitempty"`
 	Burst    int         `toml:"burst,omitempty"`
@@ -65,6 +69,7 @@
 
 type ruleTable struct {
 	Name     string      `toml:"name"`
+	Version  uint64      `toml:"version,omitempty"`
 	Kind     core.Kind   `toml:"kind"`
 	Selector string      `toml:"selector"`
 	Order    int         `toml:"order,omitempty"`
@@ -77,6 +82,7 @@
 }
 
 func (t *zoneTable) build(c *checker) Declaration {
+	c.version = t.Version
 	c.selectable(t.Name)
 	c.labels(core.KindZone, t.Labels)
 	if t.Region != "" {
@@ -86,6 +92,7 @@
 }
 
 func (t *serviceTable) build(c *checker) Declaration {
+	c.version = t.Version
 	c.selectable(t.Name)
 	c.labels(core.KindService, t.Labels)
 	var timeout conf.Duration
@@ -119,6 +126,7 @@
 }
 
 func (t *upstreamTable) build(c *checker) Declaration {
+	c.version = t.Version
 	c.selectable(t.Name)
 	c.labels(core.KindUpstream, t.Labels)
 	c.value("service", t.Service)
@@ -141,6 +149,7 @@
 }
 
 func (t *teamTable) build(c *checker) Declaration {
+	c.version = t.Version
 	c.selectable(t.Name)
 	c.labels(core.KindTeam, t.Labels)
 	c.check(len(t.Keys) <= MaxKeys, "keys", "must have at most %d elements", MaxKeys)
@@ -159,6 +168,7 @@
 }
 
 func (t *ruleTable) build(c *checker) Declaration {
+	c.version = t.Version
 	c.name("name", t.Name)
 	c.labels(core.KindRule, t.Labels)
 	c.selector("selector", t.Selector)
--- a/core/version/decl/parse.go
+++ b/core/version/decl/parse.go
@@ -21,12 +21,20 @@
 // Parse reads a file of declarations. Its order is by kind, as in
 // core.DeclarationKinds, then as in the file. file is the name in errors.
 func Parse(file string, data []byte) ([]Declaration, error) {
+	ds, _, err := ParseVersions(file, data)
+	return ds, err
+}
+
+// ParseVersions is like Parse, and also returns the versions of the objects
+// from which the declarations were made, for those that have the key version.
+// A declaration may only replace the object at that version.
+func ParseVersions(file string, data []byte) ([]Declaration, map[core.Key]uint64, error) {
 	if len(data) > MaxFile {
-		return nil, trace.BadParameter("%s: more than %d bytes", file, MaxFile)
+		return nil, nil, trace.BadParameter("%s: more than %d bytes", file, MaxFile)
 	}
 	var doc document
 	if err := conf.Decode(file, data, &doc); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	return build(file, data, &doc)
 }
@@ -54,12 +62,12 @@
 	if len(value) > MaxValue {
 		return nil, trace.BadParameter("%s: more than %d bytes", name, MaxValue)
 	}
-	ds, err := Parse(name, value)
+	ds, versions, err := ParseVersions(name, value)
 	if err != nil {
 		return nil, err
 	}
-	if len(ds) != 1 || ds[0].Key() != key {
-		return nil, trace.BadParameter("%s: the value is not the single declaration of this key", name)
+	if len(ds) != 1 || len(versions) != 0 || ds[0].Key() != key {
+		return nil, trace.BadParameter("%s: the value is not the single declaration of this key without a version", name)
 	}
 	return ds[0], nil
 }
@@ -71,8 +79,9 @@
 
 // build checks the tables of doc. data is the text of the file, or nil for
 // declarations made in memory; it serves to find the line of a fault.
-func build(file string, data []byte, doc *document) ([]Declaration, error) {
+func build(file string, data []byte, doc *document) ([]Declaration, map[core.Key]uint64, error) {
 	var ds []Declaration
+	versions := map[core.Key]uint64{}
 	seen := map[core.Key]int{}
 	add := func(kind core.Kind, i int, t table) error {
 		var c checker
@@ -81,6 +90,9 @@
 			c.fail("name", "%s %q is declared twice", kind, d.Key().Name)
 		}
 		seen[d.Key()] = i
+		if c.version != 0 {
+			versions[d.Key()] = c.version
+		}
 		if c.message == "" {
 			ds = append(ds, d)
 			return nil
@@ -92,30 +104,30 @@
 	}
 	for i := range doc.Zone {
 		if err := add(core.KindZone, i, &doc.Zone[i]); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 	for i := range doc.Service {
 		if err := add(core.KindService, i, &doc.Service[i]); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 	for i := range doc.Upstream {
 		if err := add(core.KindUpstream, i, &doc.Upstream[i]); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 	for i := range doc.Team {
 		if err := add(core.KindTeam, i, &doc.Team[i]); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 	for i := range doc.Rule {
 		if err := add(core.KindRule, i, &doc.Rule[i]); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
-	return ds, nil
+	return ds, versions, nil
 }
 
 // line returns the line of a key in the i-th table of a kind. It is the line of
