--- a/entry/flow/trip.go
+++ b/entry/flow/trip.go
@@ -84,6 +84,12 @@
 	return nil, trace.NotFound("request %q is not in the journal", id)
 }
 
+// Explain returns what the entry remembers of a request.
+func (r *Router) Explain(id string) (any, bool) {
+	rec, ok := r.journal.Get(id)
+	return rec, ok
+}
+
 func (r *Router) serveRepeatable(ctx context.Context, t *trip) (*Answer, error) {
 	budget := r.Budgets.Of(t.req.Service.Name)
 	budget.First()
--- a/entry/serve/entry.go
+++ b/entry/serve/entry.go
@@ -20,6 +20,7 @@
 	"parsleyroute.example/core/conn/links"
 	"parsleyroute.example/core/conn/pool"
 	"parsleyroute.example/core/conn/server"
+	"parsleyroute.example/core/process/admin"
 	"parsleyroute.example/core/process/clock"
 	"parsleyroute.example/core/process/conf"
 	"parsleyroute.example/core/process/objapi"
@@ -173,10 +174,28 @@
 func (e *Entry) callersApp() *fiber.App {
 	app := fiber.New(front.Settings())
 	e.front.Register(app)
+	e.admin().Register(app)
 	server.Debug(app)
 	return app
 }
 
+// admin returns the operators' API.
+func (e *Entry) admin() *admin.API {
+	return &admin.API{
+		Store:     e.store,
+		Objects:   e.node.Objects,
+		Table:     e.table.Load,
+		Instances: e.node.Instances,
+		StatusOf: func(ctx context.Context, in core.Instance, refs []*wire.ObjectRef) (*wire.StatusResponse, error) {
+			return e.peers.Peer(in.Peer).Status(ctx, &wire.StatusRequest{Refs: refs})
+		},
+		Explain: e.router.Explain,
+		Keys:    e.Settings.Operators,
+		Logger:  e.Logger,
+		Clock:   e.clock,
+	}
+}
+
 func (e *Entry) peersApp() *fiber.App {
 	app := fiber.New(fiber.Config{AppName: "parsleyroute entry peers", IdleTimeout: time.Minute, Immutable: true})
 	server.Twirp(app, wire.ConfigPathPrefix, e.node.Handler())
--- a/entry/serve/settings.go
+++ b/entry/serve/settings.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"net/netip"
 
@@ -17,8 +18,9 @@
 	// Listen is the address for callers and operators, Peer the one for peers.
 	Listen netip.AddrPort `toml:"listen"`
 	Peer   netip.AddrPort `toml:"peer"`
-	// Operators holds the SHA-256 of each operator key in hexadecimal.
-	Operators []string `toml:"operators"`
+	// Operators maps the operators' names to the SHA-256 of their keys in
+	// hexadecimal.
+	Operators map[string]string `toml:"operators"`
 	// Subset is the number of upstreams of each service to which the entry
 	// keeps connections; default 16.
 	Subset int `toml:"subset"`
@@ -38,9 +40,9 @@
 	if err := conf.Address("peer", s.Peer); err != nil {
 		return err
 	}
-	for _, key := range s.Operators {
-		if b, err := hex.DecodeString(key); err != nil || len(b) != 32 {
-			return trace.BadParameter("setting operators: %q is not a SHA-256 in hexadecimal", key)
+	for name, key := range s.Operators {
+		if b, err := hex.DecodeString(key); err != nil || len(b) != sha256.Size {
+			return trace.BadParameter("setting operators.%s: %q is not a SHA-256 in hexadecimal", name, key)
 		}
 	}
 	if s.Subset < 0 {
--- a/fakes/system/harness_test.go
+++ b/fakes/system/harness_test.go
@@ -198,7 +198,8 @@
 func (c *cluster) addEntry(zone string, i int) *node {
 	n := &node{name: fmt.Sprintf("entry-%s-%d", zone, i), zone: zone, listen: freePort(), peer: freePort()}
 	sum := sha256.Sum256([]byte(operatorKey))
-	path := c.settings(n, fmt.Sprintf("listen = %q\npeer = %q\noperators = [%q]\n", n.listen, n.peer, hex.EncodeToString(sum[:])), "")
+	path := c.settings(n, fmt.Sprintf("listen = %q\npeer = %q\n", n.listen, n.peer),
+		fmt.Sprintf("[operators]\ntest = %q\n", hex.EncodeToString(sum[:])))
 	n.process = program(c.dir, n.name, "entry", "--settings", path)
 	c.entries = append(c.entries, n)
 	c.list(n, core.RoleEntry, false)
--- /dev/null
+++ b/fakes/system/path_test.go
@@ -0,0 +1,137 @@
+package system_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core/suite/answer"
+)
+
+// stream calls the model service for a stream of tokens and checks each byte.
+func (c *cluster) stream(entry *node, id string, tokens int) result {
+	body := fmt.Sprintf(`{"tokens":%d,"stream":true,"id":%q}`, tokens, id)
+	r := c.do(call{
+		entry: entry, team: "small", method: http.MethodPost, path: "model/generate", body: body,
+		headers: map[string]string{"X-Request-Id": id, "Accept": "text/event-stream"},
+	})
+	if r.err == nil && r.status == 200 {
+		want := answer.Of([]byte(body), "", id).Whole(tokens)
+		if !bytes.Equal(r.body, want) {
+			r.err = fmt.Errorf("answer of %d bytes differs from the %d bytes of this request", len(r.body), len(want))
+		}
+	}
+	return r
+}
+
+// order places an order that must not be repeated.
+func (c *cluster) order(entry *node, key, body string) result {
+	return c.do(call{
+		entry: entry, team: "small", method: http.MethodPost, path: "desk/orders", body: body,
+		headers: map[string]string{"Idempotency-Key": key, "X-Deadline-Ms": "8000"},
+	})
+}
+
+// runs returns how often the key ran at all plain services.
+func (c *cluster) runs(key string) int {
+	total := 0
+	for _, a := range c.agents {
+		if a.upstream[:4] != "desk" {
+			continue
+		}
+		var got map[string]any
+		c.stats(a.backend, "/control/runs?key="+key, &got)
+		if n, ok := got["key"].(float64); ok {
+			total += int(n)
+		}
+	}
+	return total
+}
+
+var _ = Describe("the whole path", func() {
+	It("serves a stream, a document and an order through separate processes", func() {
+		c := newCluster(shape{zones: []string{"a", "b"}, entries: 1, engines: 2, plains: 1, limit: 16, cold: 2})
+		for i, e := range c.entries {
+			r := c.stream(e, fmt.Sprintf("stream-%d", i), 40)
+			Expect(r.err).NotTo(HaveOccurred())
+			Expect(r.status).To(Equal(200), string(r.body))
+		}
+		r := c.do(call{entry: c.entries[0], team: "small", method: http.MethodPost, path: "model/generate", body: `{"tokens":8,"stream":false}`, headers: map[string]string{"X-Request-Id": "doc"}})
+		Expect(r.status).To(Equal(200), string(r.body))
+		var doc map[string][]string
+		Expect(json.Unmarshal(r.body, &doc)).To(Succeed())
+		Expect(doc["tokens"]).To(HaveLen(8))
+
+		By("running an order once, whichever entry gets it")
+		first := c.order(c.entries[0], "order-1", "brass plate")
+		Expect(first.status).To(Equal(200), string(first.body))
+		second := c.order(c.entries[1], "order-1", "brass plate")
+		Expect(second.status).To(Equal(200), string(second.body))
+		Expect(second.body).To(Equal(first.body))
+		Expect(c.runs("order-1")).To(Equal(1))
+		other := c.order(c.entries[1], "order-1", "carved lintel")
+		Expect(other.status).To(Equal(409))
+		Expect(other.reason).To(Equal("claim_conflict"))
+	})
+
+	// Guards against failures without a type and against calls that nobody has
+	// authorized.
+	It("refuses bad input with typed errors", func() {
+		c := newCluster(shape{zones: []string{"a"}, entries: 1, engines: 1, limit: 4, cold: 2})
+		e := c.entries[0]
+		for _, x := range []struct {
+			call   call
+			status int
+			reason string
+		}{
+			{call{team: "nobody", method: "POST", path: "model/x"}, 401, "unauthenticated"},
+			{call{team: "small", method: "POST", path: "nothing/x"}, 404, "not_found"},
+			{call{team: "small", method: "POST", path: "model/x", headers: map[string]string{"X-Deadline-Ms": "soon"}}, 400, "bad_request"},
+			{call{team: "small", method: "POST", path: "model/x", headers: map[string]string{"X-Priority": "11"}}, 400, "bad_request"},
+			{call{team: "small", method: "POST", path: "model/x", body: string(make([]byte, 9<<20))}, 413, "too_large"},
+		} {
+			x.call.entry = e
+			r := c.do(x.call)
+			Expect(r.status).To(Equal(x.status), "%s: %v", x.reason, r.err)
+			Expect(r.reason).To(Equal(x.reason))
+			Expect(r.run).To(Equal("no"))
+		}
+		resp, err := c.client.Post("http://"+c.agents[0].listen.String()+"/dispatch", "", bytes.NewReader(nil))
+		Expect(err).NotTo(HaveOccurred())
+		_ = resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(401), "a dispatch without the peer key")
+	})
+
+	// Guards against requests that a graceful shutdown cuts off.
+	It("cuts off no request in flight when entry and agent are asked to end", func() {
+		c := newCluster(shape{zones: []string{"a"}, entries: 1, engines: 1, limit: 8, cold: 8})
+		var wg sync.WaitGroup
+		results := make([]result, 6)
+		for i := range results {
+			wg.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer wg.Done()
+				results[i] = c.stream(c.entries[0], fmt.Sprintf("s-%d", i), 200)
+			}()
+		}
+		time.Sleep(300 * time.Millisecond)
+		c.agents[0].signal(syscall.SIGTERM)
+		c.entries[0].signal(syscall.SIGTERM)
+		wg.Wait()
+		for _, r := range results {
+			Expect(r.err).NotTo(HaveOccurred())
+			Expect(r.status).To(Equal(200), string(r.body))
+		}
+		Expect(c.agents[0].ended(5*time.Second)).To(BeTrue(), "the agent ends")
+		Expect(c.entries[0].ended(5*time.Second)).To(BeTrue(), "the entry ends")
+	})
+})
+
