--- a/bench/main.go
+++ b/bench/main.go
@@ -7,11 +7,12 @@
 	"github.com/spf13/cobra"
 
 	"parsleyroute.example/bench/drift"
+	"parsleyroute.example/bench/load"
 )
 
 func main() {
 	root := &cobra.Command{Use: "bench", Short: "Load and experiment tool of parsleyroute", SilenceUsage: true}
-	root.AddCommand(drift.Command())
+	root.AddCommand(drift.Command(), load.Command())
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
--- a/fakes/system/path_test.go
+++ b/fakes/system/path_test.go
@@ -134,4 +134,3 @@
 		Expect(c.entries[0].ended(5*time.Second)).To(BeTrue(), "the entry ends")
 	})
 })
-
