Read the object back before a lost write is repeated

The property test found two schedules in which a creation took effect twice because another operator had deleted the object meanwhile: the write was repeated after a failed read, and after the object had been created again between the read and the watch. Both are replayed in a test of their own.

--- a/core/process/admin/admin_test.go
+++ b/core/process/admin/admin_test.go
@@ -22,7 +22,6 @@
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/admin"
 	_ "parsleyroute.example/core/suite/seed"
-	"parsleyroute.example/core/version/decl"
 	"parsleyroute.example/core/version/rules"
 	"parsleyroute.example/core/wire"
 )
@@ -270,68 +269,109 @@
 	})
 })
 
+// schedule holds what happens before (race) and to (fault) each store call of
+// one write. In races, 0 replaces the object and 1 deletes it, as another
+// operator.
+type schedule struct {
+	exists, remove bool
+	races          []int
+	faults         []fault
+}
+
+// run makes one write and returns what is wrong with its outcome.
+func (sc schedule) run() string {
+	s := newStore()
+	_, app := serve(s)
+	key := core.Key{Kind: core.KindZone, Name: "a"}
+	base := core.Object{Key: core.Key{Kind: core.KindZone, Name: "other"}, Value: []byte(zoneText("other", "r"))}
+	s.put(base)
+	version := uint64(0)
+	if sc.exists {
+		version = s.put(core.Object{Key: key, Writer: "setup", Value: []byte(zoneText("a", "r0"))}).Version
+	}
+	// ours counts the revisions that the write has made.
+	ours, last, calls := 0, s.revision, 0
+	count := func() {
+		if o := s.objects[key]; o.Nonce == "n1" && o.Version > last {
+			ours++
+		}
+	}
+	s.fault = func(string) fault {
+		count()
+		n := calls
+		calls++
+		if n < len(sc.races) {
+			switch _, ok := s.live(key); {
+			case sc.races[n] == 0:
+				s.put(core.Object{Key: key, Writer: "ousmane", Nonce: "n2", Value: []byte(zoneText("a", "r2"))})
+			case sc.races[n] == 1 && ok:
+				s.put(core.Object{Key: key, Writer: "ousmane", Nonce: "n3", Deleted: true})
+			}
+		}
+		last = s.revision
+		if n < len(sc.faults) {
+			return sc.faults[n]
+		}
+		return none
+	}
+	method, body := http.MethodPut, zoneText("a", "r1")
+	if sc.exists && sc.remove {
+		method, body = http.MethodDelete, ""
+	}
+	var answer struct {
+		admin.Written
+		admin.Failure
+	}
+	code := do(app, "awa", method, fmt.Sprintf("/objects/zone/a?version=%d", version), "n1", body, &answer)
+	count()
+	switch {
+	case ours > 1:
+		return fmt.Sprintf("took effect %d times", ours)
+	case code == 200 && (ours != 1 || answer.Version == 0):
+		return fmt.Sprintf("accepted as version %d, took effect %d times", answer.Version, ours)
+	case code != 200 && answer.Error.Run == core.RunNo && ours != 0:
+		return fmt.Sprintf("reported as not run: %+v", answer.Error)
+	case code != 200 && answer.Error.Reason == "":
+		return fmt.Sprintf("untyped failure %d", code)
+	}
+	return ""
+}
+
 // TestLostAnswers guards against writes that take effect twice, that are
 // reported as not run although they took effect, or that undo another
 // operator's write. Store calls lose their requests or answers at random, while
 // another operator replaces or deletes the same object.
 func TestLostAnswers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newStore()
-		_, app := serve(s)
-		key := core.Key{Kind: core.KindZone, Name: "a"}
-		base := core.Object{Key: core.Key{Kind: core.KindZone, Name: "other"}}
-		base.Value, _ = decl.Marshal(decl.Zone{Zone: core.Zone{Name: "other"}})
-		s.put(base)
-		exists := rapid.Bool().Draw(t, "exists")
-		version := uint64(0)
-		if exists {
-			version = s.put(core.Object{Key: key, Writer: "setup", Value: []byte(zoneText("a", "r0"))}).Version
-		}
-		// ours counts the revisions that the call under test has made.
-		ours, last := 0, s.revision
-		race := func() {
-			if o := s.objects[key]; s.revision > last && o.Nonce == "n1" && o.Version > last {
-				ours++
-			}
-			switch rapid.IntRange(0, 7).Draw(t, "race") {
-			case 0:
-				s.put(core.Object{Key: key, Writer: "ousmane", Nonce: "n2", Value: []byte(zoneText("a", "r2"))})
-			case 1:
-				if _, ok := s.live(key); ok {
-					s.put(core.Object{Key: key, Writer: "ousmane", Nonce: "n3", Deleted: true})
-				}
-			}
-			last = s.revision
-		}
-		s.fault = func(string) fault {
-			race()
-			return rapid.SampledFrom([]fault{none, none, none, lostBefore, lostAfter, limited}).Draw(t, "fault")
-		}
-		method, body := http.MethodPut, zoneText("a", "r1")
-		if exists && rapid.Bool().Draw(t, "delete") {
-			method, body = http.MethodDelete, ""
+		// The calls are served in another goroutine, in which rapid must not
+		// draw, so the events are drawn beforehand.
+		sc := schedule{
+			exists: rapid.Bool().Draw(t, "exists"),
+			remove: rapid.Bool().Draw(t, "remove"),
+			races:  rapid.SliceOfN(rapid.IntRange(0, 7), 24, 24).Draw(t, "races"),
+			faults: rapid.SliceOfN(rapid.SampledFrom(
+				[]fault{none, none, none, lostBefore, lostAfter, limited}), 24, 24).Draw(t, "faults"),
 		}
-		var answer struct {
-			admin.Written
-			admin.Failure
-		}
-		code := do(app, "awa", method, fmt.Sprintf("/objects/zone/a?version=%d", version), "n1", body, &answer)
-		if o := s.objects[key]; o.Nonce == "n1" && o.Version > last {
-			ours++
-		}
-		switch {
-		case ours > 1:
-			t.Fatalf("took effect %d times", ours)
-		case code == 200 && (ours != 1 || answer.Version == 0):
-			t.Fatalf("accepted as version %d, took effect %d times", answer.Version, ours)
-		case code != 200 && answer.Error.Run == core.RunNo && ours != 0:
-			t.Fatalf("reported as not run: %+v", answer.Error)
-		case code != 200 && answer.Error.Reason == "":
-			t.Fatalf("untyped failure %d", code)
+		if wrong := sc.run(); wrong != "" {
+			t.Fatal(wrong)
 		}
 	})
 }
 
+// TestLostCreation replays two schedules in which a creation took effect twice:
+// it was repeated before the object had been read back, and after the object
+// had been created again between the read and the watch.
+func TestLostCreation(t *testing.T) {
+	for _, sc := range []schedule{
+		{races: []int{2, 2, 0, 0, 2, 1}, faults: []fault{none, lostAfter, lostBefore, none, limited}},
+		{races: []int{2, 2, 0, 0, 1, 0, 1}, faults: []fault{none, lostAfter, lostBefore, lostBefore}},
+	} {
+		if wrong := sc.run(); wrong != "" {
+			t.Errorf("%+v: %s", sc, wrong)
+		}
+	}
+}
+
 // Guards against a write of ours that is repeated by the caller after our
 // answer was lost, and is then taken for a conflict with itself.
 func TestRepeatedCall(t *testing.T) {
--- a/core/process/admin/write.go
+++ b/core/process/admin/write.go
@@ -32,7 +32,7 @@
 		after = known
 	}
 	run := core.RunNo
-	for pause := firstPause; ; pause = min(2*pause, lastPause) {
+	for pause := firstPause; ; {
 		got, err := do(ctx, o)
 		switch {
 		case err == nil:
@@ -44,21 +44,29 @@
 		default:
 			return o, &writeError{cause: err, run: run}
 		}
-		current, readErr := a.current(ctx, o.Key, after, known)
-		switch {
-		case readErr == nil && current.Writer == o.Writer && current.Nonce == o.Nonce:
-			return current, nil
-		case readErr == nil && current.Version != o.Version:
-			return o, conflictOf(current, d, run)
-		case readErr != nil && !lost(readErr) && !trace.IsLimitExceeded(readErr):
-			return o, &writeError{cause: readErr, run: run}
-		case readErr != nil:
-			run = core.RunUnknown
-		}
-		if a.Clock.Sleep(ctx, pause) != nil {
-			return o, &writeError{
-				cause: trace.ConnectionProblem(err, "the store did not confirm the write of %s %q in time", o.Kind, o.Name),
-				run:   run,
+		// The write is not repeated before the object has been read back:
+		// another operator may have replaced and deleted it meanwhile.
+		var current core.Object
+		for read := false; !read; pause = min(2*pause, lastPause) {
+			var readErr error
+			current, readErr = a.current(ctx, o.Key, after, known)
+			switch {
+			case readErr == nil:
+				read = true
+			case !lost(readErr) && !trace.IsLimitExceeded(readErr):
+				return o, &writeError{cause: readErr, run: core.RunUnknown}
+			}
+			if read && current.Writer == o.Writer && current.Nonce == o.Nonce {
+				return current, nil
+			}
+			if read && current.Version != o.Version {
+				return o, conflictOf(current, d, run)
+			}
+			if a.Clock.Sleep(ctx, pause) != nil {
+				return o, &writeError{
+					cause: trace.ConnectionProblem(err, "the store did not confirm the write of %s %q in time", o.Kind, o.Name),
+					run:   core.RunUnknown,
+				}
 			}
 		}
 	}
@@ -75,18 +83,19 @@
 	if err == nil || !trace.IsNotFound(err) {
 		return o, err
 	}
-	absent := core.Object{Key: key}
+	last := core.Object{Key: key}
 	from := min(after, max(known, 1)-1)
 	changes, err := a.Store.Watch(ctx, from, core.DeclarationKinds...)
 	if err != nil {
-		return absent, err
+		return last, err
 	}
 	for _, c := range changes {
-		if c.Key == key && c.Deleted && c.Version > after && c.Version > absent.Version {
-			absent = c
+		// The object may have been created again since the read.
+		if c.Key == key && c.Version > max(after, last.Version) {
+			last = c
 		}
 	}
-	return absent, nil
+	return last, nil
 }
 
 // highest returns the highest version of a declaration that this instance has.
