--- a/core/version/decl/check.go
+++ b/core/version/decl/check.go
@@ -160,7 +160,8 @@
 
 // CheckSet reports the faults that show only when declarations are seen
 // together: duplicate keys, references to services and zones that are not among
-// them, and agents, ranks and credentials that are declared twice.
+// them, and agents, ranks and credentials that are declared twice. A missing
+// reference is a trace.NotFound and any other fault a trace.BadParameter.
 func CheckSet(ds []Declaration) []error {
 	var errs []error
 	keys := map[core.Key]bool{}
@@ -184,7 +185,7 @@
 		case Upstream:
 			for _, ref := range References(d) {
 				if !keys[ref] {
-					errs = append(errs, trace.BadParameter("upstream %q: %s %q is not declared", d.Name, ref.Kind, ref.Name))
+					errs = append(errs, trace.NotFound("upstream %q: %s %q is not declared", d.Name, ref.Kind, ref.Name))
 				}
 			}
 			own(d, fmt.Sprintf("agent %q", d.Agent))
--- a/core/version/decl/decl_test.go
+++ b/core/version/decl/decl_test.go
@@ -1,6 +1,8 @@
 package decl_test
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -153,6 +155,35 @@
 	})
 })
 
+// Guards against examples that no longer parse, that do not fit together, or
+// that declare non-repeatable work as repeatable.
+var _ = DescribeTable("the examples",
+	func(dir, desk string) {
+		files, err := filepath.Glob(filepath.Join("../../../examples", dir, "*.toml"))
+		Expect(err).NotTo(HaveOccurred())
+		var all []decl.Declaration
+		for _, f := range files {
+			data, err := os.ReadFile(f)
+			Expect(err).NotTo(HaveOccurred())
+			ds, err := decl.Parse(f, data)
+			Expect(err).NotTo(HaveOccurred())
+			all = append(all, ds...)
+		}
+		Expect(decl.CheckSet(all)).To(BeEmpty())
+		counts := map[core.Kind]int{}
+		for _, d := range all {
+			counts[d.Key().Kind]++
+			if s, ok := d.(decl.Service); ok && s.Name == desk {
+				Expect(s.Routes).To(ContainElement(core.Route{Prefix: "/orders", Method: "POST"}))
+				Expect(s.Routes).To(ContainElement(core.Route{Prefix: "/lookups", Repeatable: true}))
+			}
+		}
+		Expect(counts).To(Equal(map[core.Kind]int{"zone": 3, "service": 2, "upstream": 15, "team": 10, "rule": 3}))
+	},
+	Entry("ndiaye", "ndiaye", "order-desk"),
+	Entry("chinook", "chinook", "keeper-desk"),
+)
+
 // FuzzParse guards against panics, and against accepted declarations that do
 // not survive a round trip through the store.
 func FuzzParse(f *testing.F) {
--- a/core/version/rules/rules_test.go
+++ b/core/version/rules/rules_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"reflect"
 	"testing"
 
@@ -252,4 +254,37 @@
 		_, err = rules.Match(table, core.KindRule, "name")
 		Expect(trace.IsBadParameter(err)).To(BeTrue())
 	})
+
+	// Guards against example rules that do not do what their comments say, and
+	// against a zone of the examples that does not go out as a whole.
+	It("compiles the examples", func() {
+		var ds []decl.Declaration
+		for _, dir := range []string{"ndiaye", "chinook"} {
+			files, err := filepath.Glob(filepath.Join("../../../examples", dir, "*.toml"))
+			Expect(err).NotTo(HaveOccurred())
+			for _, f := range files {
+				data, err := os.ReadFile(f)
+				Expect(err).NotTo(HaveOccurred())
+				list, err := decl.Parse(f, data)
+				Expect(err).NotTo(HaveOccurred())
+				ds = append(ds, list...)
+			}
+		}
+		ds = append(ds, decl.Rule{Rule: core.Rule{
+			Name: "out", Kind: core.KindZone, Selector: "name = dakar-medina", Action: core.ActionOut,
+		}})
+		table, errs := rules.Compile(objects(ds...))
+		Expect(errs).To(BeEmpty())
+		Expect(table.Keys).To(HaveLen(20))
+		for _, u := range table.Upstream {
+			Expect(u.Out).To(Equal(u.Zone == "dakar-medina"), u.Name)
+		}
+		Expect(table.Teams["festival"].Priority).To(Equal(9))
+		Expect(table.Teams["archive"].Rate).To(Equal(1.0))
+		Expect(table.Teams["archive"].Routed).To(And(
+			HaveKey("lettering-model-yoff-0"), HaveKey("order-desk-plateau"), Not(HaveKey("lettering-model-medina-0"))))
+		Expect(table.Teams["clinic"].Rate).To(Equal(4.0))
+		Expect(table.Teams["geckos"].Rate).To(Equal(80.0))
+		Expect(table.Teams["skinks"].Rate).To(Equal(5.0))
+	})
 })
