--- a/core/version/rules/rules_test.go
+++ b/core/version/rules/rules_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"reflect"
 	"testing"
 
@@ -252,4 +254,75 @@
 		_, err = rules.Match(table, core.KindRule, "name")
 		Expect(trace.IsBadParameter(err)).To(BeTrue())
 	})
+
+	// Guards against example rules that do not do what their comments say, and
+	// against a zone of the examples that does not go out as a whole.
+	It("compiles the examples", func() {
+		var ds []decl.Declaration
+		for _, dir := range []string{"ndiaye", "chinook"} {
+			files, err := filepath.Glob(filepath.Join("../../../examples", dir, "*.toml"))
+			Expect(err).NotTo(HaveOccurred())
+			for _, f := range files {
+				data, err := os.ReadFile(f)
+				Expect(err).NotTo(HaveOccurred())
+				list, err := decl.Parse(f, data)
+				Expect(err).NotTo(HaveOccurred())
+				ds = append(ds, list...)
+			}
+		}
+		ds = append(ds, decl.Rule{Rule: core.Rule{
+			Name: "out", Kind: core.KindZone, Selector: "name = dakar-medina", Action: core.ActionOut,
+		}})
+		table, errs := rules.Compile(objects(ds...))
+		Expect(errs).To(BeEmpty())
+		Expect(table.Keys).To(HaveLen(20))
+		for _, u := range table.Upstream {
+			Expect(u.Out).To(Equal(u.Zone == "dakar-medina"), u.Name)
+		}
+		Expect(table.Teams["festival"].Priority).To(Equal(9))
+		Expect(table.Teams["archive"].Rate).To(Equal(1.0))
+		Expect(table.Teams["archive"].Routed).To(And(
+			HaveKey("lettering-model-yoff-0"), HaveKey("order-desk-plateau"), Not(HaveKey("lettering-model-medina-0"))))
+		Expect(table.Teams["clinic"].Rate).To(Equal(4.0))
+		Expect(table.Teams["geckos"].Rate).To(Equal(80.0))
+		Expect(table.Teams["skinks"].Rate).To(Equal(5.0))
+	})
 })
+
+// BenchmarkCompile measures one change at the size to design for: 8,700 teams,
+// 600 upstreams in 6 zones, 34 services and 60 rules.
+func BenchmarkCompile(b *testing.B) {
+	var ds []decl.Declaration
+	for i := range 6 {
+		ds = append(ds, zone(fmt.Sprint("z", i)))
+	}
+	for i := range 34 {
+		ds = append(ds, service(fmt.Sprint("s", i)))
+	}
+	for i := range 600 {
+		ds = append(ds, upstream(fmt.Sprint("u", i), fmt.Sprint("s", i%34), fmt.Sprint("z", i%6), "gold"))
+	}
+	for i := range 8700 {
+		ds = append(ds, team(fmt.Sprint("t", i), fmt.Sprintf("%064x", i)))
+	}
+	for i := range 60 {
+		ds = append(ds, decl.Rule{Rule: core.Rule{
+			Name: fmt.Sprint("r", i), Kind: core.KindTeam, Selector: fmt.Sprintf("name in (t%d, t%d)", i, 2*i),
+			Action: core.ActionPriority, Priority: i % 10,
+		}})
+	}
+	list := objects(ds...)
+	for name, c := range map[string]func() *rules.Compiler{
+		"first": func() *rules.Compiler { return new(rules.Compiler) },
+		"next":  func() func() *rules.Compiler { c := new(rules.Compiler); return func() *rules.Compiler { return c } }(),
+	} {
+		b.Run(name, func(b *testing.B) {
+			c().Compile(list)
+			for b.Loop() {
+				if _, errs := c().Compile(list); len(errs) != 0 {
+					b.Fatal(errs)
+				}
+			}
+		})
+	}
+}
