--- a/core/request/claim/claim_test.go
+++ b/core/request/claim/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sort"
 	"testing"
 	"time"
@@ -104,6 +105,79 @@
 	})
 }
 
+// Guards against a second caller that takes a claim over while the first entry
+// is about to dispatch, and against one that waits for a dead entry for ever.
+func TestAwaitLeavesTheFirstEntryTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		r := claim.Request{Key: "k", BodyHash: 1}
+		var f *claim.Found
+		var waited time.Duration
+		w.spawn(nil, func() {
+			g := w.agents[0]
+			if _, err := w.claims().Open(context.Background(), r, claim.Target{Agent: g.addr, Incarnation: g.incarnation}); err != nil {
+				w.failf("open: %v", err)
+			}
+			start := w.now
+			f, _ = w.claims().Await(context.Background(), r)
+			waited = w.now.Sub(start)
+		})
+		w.settleAll()
+		if f == nil || f.State != claim.StateAbsent || waited != 2*time.Second {
+			t.Fatalf("%+v after %v", f, waited)
+		}
+	})
+}
+
+// Guards against a claim that its own writer takes for another's after a lost
+// answer.
+func TestOpenReadsBackAfterALostAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		err := error(trace.NotFound("not opened"))
+		p := w.spawn(nil, func() { _, err = w.claims().Open(context.Background(), claim.Request{}, claim.Target{}) })
+		w.step(p, deliver)
+		w.step(p, loseReply)
+		w.settleAll()
+		if err != nil || len(w.objs) != 1 {
+			t.Fatalf("%v, %d claims", err, len(w.objs))
+		}
+	})
+}
+
+// late is an agent that records the outcome and restarts before it is asked.
+type late struct{ *world }
+
+func (l late) Query(context.Context, netip.AddrPort, *wire.Attempt) (*wire.AttemptResponse, error) {
+	for key, obj := range l.objs {
+		obj.Value, _ = proto.Marshal(&wire.Claim{State: wire.ClaimState_CLAIM_STATE_DONE, Answer: &wire.Answer{}})
+		l.objs[key] = obj
+	}
+	return &wire.AttemptResponse{}, nil
+}
+
+// Guards against "unknown" for an outcome that was recorded before the agent
+// restarted, and against an outcome that is written to another attempt's claim.
+func TestOutcomesStayWithTheirAttempt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.spawn(nil, func() {
+			c, r := w.claims(), claim.Request{RequestID: "r"}
+			h, _ := c.Open(context.Background(), r, claim.Target{Agent: w.agents[0].addr})
+			a := h.Attempt()
+			a.Number++
+			if err := c.Record(context.Background(), a, nil); !trace.IsCompareFailed(err) {
+				w.failf("recorded for another attempt: %v", err)
+			}
+			c.Agents = late{w}
+			if f, err := c.Lookup(context.Background(), r); err != nil || f.State != claim.StateAnswer {
+				w.failf("got %+v, %v", f, err)
+			}
+		})
+		w.settleAll()
+	})
+}
+
 // Guards against claims over the store's limit on values.
 func TestShortenBoundsAnswers(t *testing.T) {
 	g := NewWithT(t)
--- a/core/request/claim/lookup.go
+++ b/core/request/claim/lookup.go
@@ -81,7 +81,7 @@
 	}
 	switch res.GetState() {
 	case wire.AttemptState_ATTEMPT_STATE_ABSENT:
-		f.State = StateFree
+		f.State = StateAbsent
 	case wire.AttemptState_ATTEMPT_STATE_TOMBSTONE:
 		f.State = StateFree
 	case wire.AttemptState_ATTEMPT_STATE_DONE:
