--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,18 @@
 // Package main is the program bench.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"parsleyroute.example/bench/policy"
+)
+
+func main() {
+	root := &cobra.Command{Use: "bench", Short: "Load and experiment tool of parsleyroute", SilenceUsage: true}
+	root.AddCommand(policy.Command())
+	if root.Execute() != nil {
+		os.Exit(1)
+	}
+}
