--- a/parsley/cmds/root.go
+++ b/parsley/cmds/root.go
@@ -25,7 +25,7 @@
 	Entries []string `toml:"entries"`
 	// Key is the operator's key; KeyFile is a file that holds it.
 	Key     string `toml:"key"`
-	KeyFile string `toml:"key_file"`
+	KeyFile string `toml:"keyfile"`
 	// Timeout bounds one attempt at one entry; zero means 10 s.
 	Timeout conf.Duration `toml:"timeout"`
 }
--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,115 @@
+#!/usr/bin/env bash
+# Starts or stops a whole system of one deployment on loopback addresses:
+# stand-ins for the platform and the upstreams, one agent for each declared
+# upstream, and the entries. Run scripts/build.sh first.
+#
+#   scripts/cluster.sh up DEPLOYMENT DIR     DEPLOYMENT is ndiaye or chinook
+#   scripts/cluster.sh down DIR
+#
+# DIR gets the settings, the logs, the process ids, and the file env with the
+# addresses. ENTRIES (default 2) is the number of entries in each zone, PICKER
+# the entries' picker, ENGINE_FLAGS and PLAIN_FLAGS are added to the stand-ins.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$PWD/.out/bin
+platform=127.0.0.1:7000
+peer_key=loopback-peer-key
+operator_key=loopback-operator-key
+
+down() {
+  [ -f "$1/pids" ] || return 0
+  xargs -r kill <"$1/pids" 2>/dev/null || true
+  for pid in $(cat "$1/pids"); do
+    for _ in $(seq 100); do kill -0 "$pid" 2>/dev/null || break; sleep 0.05; done
+    kill -9 "$pid" 2>/dev/null || true
+  done
+  rm -f "$1/pids"
+}
+
+# start NAME PROGRAM ARGUMENT... runs a program in the background.
+start() {
+  local name=$1
+  shift
+  "$bin/$1" "${@:2}" >"$dir/$name.log" 2>&1 &
+  echo $! >>"$dir/pids"
+}
+
+# wait_for URL waits until the URL answers with success.
+wait_for() {
+  for _ in $(seq 200); do
+    curl -sf -o /dev/null "$1" && return 0
+    sleep 0.05
+  done
+  echo "no answer from $1; the logs are in $dir" >&2
+  return 1
+}
+
+# settings NAME ZONE writes the settings that entries and agents share.
+settings() {
+  printf 'instance = "%s"\nzone = "%s"\nkey = "%s"\ngrace = "500ms"\n' "$1" "$2" "$peer_key"
+}
+
+# list NAME ROLE ZONE PEER puts an instance into the platform's list.
+list() {
+  curl -sf -o /dev/null -X PUT "http://$platform/control/instances" \
+    -d "{\"name\":\"$1\",\"role\":\"$2\",\"zone\":\"$3\",\"peer\":\"$4\",\"leaving\":false}"
+}
+
+# upstreams prints name, service, zone and agent of each declared upstream.
+upstreams() {
+  awk -F'"' '/^\[\[upstream\]\]/ {n=s=z=a=""} /^name/ {n=$2} /^service/ {s=$2} /^zone/ {z=$2}
+    /^agent/ {a=$2; print n, s, z, a}' "examples/$deployment/upstreams.toml"
+}
+
+up() {
+  mkdir -p "$dir"
+  : >"$dir/pids"
+  start platform fakes platform --listen "$platform" ${PLATFORM_FLAGS:-}
+  wait_for "http://$platform/control/stats"
+  while read -r name service zone agent; do
+    local backend=127.0.0.1:$((${agent#*:} + 1000)) kind=engine flags=${ENGINE_FLAGS:-}
+    case $service in *-desk) kind=plain flags=${PLAIN_FLAGS:-} ;; esac
+    # shellcheck disable=SC2086
+    start "$name" fakes "$kind" --listen "$backend" $flags
+    {
+      settings "agent-$name" "$zone"
+      printf 'listen = "%s"\nupstream = "%s"\n[platform]\naddress = "%s"\n' "$agent" "$name" "$platform"
+      printf '[engine]\nkind = "%s"\naddress = "%s"\n' "$kind" "$backend"
+    } >"$dir/agent-$name.toml"
+    start "agent-$name" agent --settings "$dir/agent-$name.toml"
+    list "agent-$name" agent "$zone" "$agent"
+  done < <(upstreams)
+  local n=0 entries=()
+  for zone in $(upstreams | awk '{print $3}' | sort -u); do
+    for _ in $(seq "${ENTRIES:-2}"); do
+      n=$((n + 1))
+      {
+        settings "entry-$n" "$zone"
+        printf 'listen = "127.0.0.1:%d"\npeer = "127.0.0.1:%d"\npicker = "%s"\n' $((7300 + n)) $((7400 + n)) "${PICKER:-}"
+        printf '[platform]\naddress = "%s"\n[operators]\nlocal = "%s"\n' "$platform" \
+          "$(printf %s "$operator_key" | sha256sum | cut -d' ' -f1)"
+      } >"$dir/entry-$n.toml"
+      start "entry-$n" entry --settings "$dir/entry-$n.toml"
+      list "entry-$n" entry "$zone" "127.0.0.1:$((7400 + n))"
+      entries+=("127.0.0.1:$((7300 + n))")
+    done
+  done
+  printf '%s\n' "entries = [$(printf '"%s",' "${entries[@]}" | sed 's/,$//')]" "key = \"$operator_key\"" >"$dir/parsley.toml"
+  for e in "${entries[@]}"; do wait_for "http://$e/healthz"; done
+  "$bin/parsley" --config "$dir/parsley.toml" apply "examples/$deployment" --wait >"$dir/apply.log"
+  for e in "${entries[@]}"; do wait_for "http://$e/readyz"; done
+  printf 'ENTRIES="%s"\nPLATFORM=%s\nOPERATOR_KEY=%s\n' "${entries[*]}" "$platform" "$operator_key" >"$dir/env"
+}
+
+case "${1:-}" in
+up)
+  deployment=$2 dir=$3
+  trap 'down "$dir"' ERR
+  up
+  ;;
+down) down "$2" ;;
+*)
+  sed -n '2,12s/^# \{0,1\}//p' "$0"
+  exit 2
+  ;;
+esac
