Add the model engine and plain service stand-ins with their adapters

Each call has a connection to itself, so that closing an answer early or ending its context closes the connection and cancels the work.

--- /dev/null
+++ b/core/conn/probe/probe.go
@@ -0,0 +1,53 @@
+// Package probe tells whether the peer of a TCP connection has closed it,
+// without reading from the connection. fasthttp does not report a caller that
+// goes away while its request is being handled.
+package probe
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Period is how often Watch looks.
+const Period = 100 * time.Millisecond
+
+// Closed reports whether the peer has closed the connection. It is false for
+// connections that cannot be probed.
+func Closed(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = err == nil && n == 0 || err == unix.ECONNRESET
+	})
+	return closed || err != nil
+}
+
+// Watch calls gone once if the peer closes the connection before ctx ends.
+func Watch(ctx context.Context, conn net.Conn, gone func()) {
+	t := time.NewTicker(Period)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			if Closed(conn) {
+				gone()
+				return
+			}
+		}
+	}
+}
--- a/core/process/objapi/conn.go
+++ b/core/conn/rest/client.go
@@ -1,4 +1,4 @@
-package objapi
+package rest
 
 import (
 	"context"
@@ -11,16 +11,18 @@
 	"github.com/valyala/fasthttp"
 )
 
-// conn is a pool of connections to one server.
-type conn struct {
+// Client is a pool of connections to one server. Its zero value is ready for
+// use; the address of the first call is that of all.
+type Client struct {
 	once   sync.Once
 	client fasthttp.HostClient
 	addr   string
 }
 
-// call sends one request and decodes the answer into out, which may be nil. It
-// never repeats the request.
-func (c *conn) call(ctx context.Context, addr netip.AddrPort, timeout time.Duration, method, path string, query map[string]string, in, out any) error {
+// Call sends one request with the JSON body in and decodes the answer into
+// out; both may be nil. It fails with the types of Failed, or with
+// trace.ConnectionProblem if the call may have taken effect.
+func (c *Client) Call(ctx context.Context, addr netip.AddrPort, timeout time.Duration, method, path string, query map[string]string, in, out any) error {
 	c.once.Do(func() {
 		c.addr = addr.String()
 		c.client = fasthttp.HostClient{
@@ -61,7 +63,7 @@
 	}
 }
 
-func (c *conn) send(deadline time.Time, method, path string, query map[string]string, body []byte, out any) error {
+func (c *Client) send(deadline time.Time, method, path string, query map[string]string, body []byte, out any) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -77,8 +79,8 @@
 	if err := c.client.DoDeadline(req, resp, deadline); err != nil {
 		return trace.ConnectionProblem(err, "%s %s failed", method, path)
 	}
-	if code := resp.StatusCode(); code != fasthttp.StatusOK && code != fasthttp.StatusCreated {
-		return failure(code, resp.Body())
+	if code := resp.StatusCode(); code/100 != 2 {
+		return Failed(code, resp.Body())
 	}
 	if out == nil {
 		return nil
@@ -88,27 +90,3 @@
 	}
 	return nil
 }
-
-// failure converts an answer that reports a failure.
-func failure(code int, body []byte) error {
-	var e Error
-	if err := json.Unmarshal(body, &e); err != nil || e.Error.Reason == "" {
-		return trace.ConnectionProblem(nil, "the platform answered with status %d", code)
-	}
-	switch f := e.Error; f.Reason {
-	case ReasonNotFound:
-		return trace.NotFound("%s", f.Message)
-	case ReasonAlreadyExists:
-		return trace.AlreadyExists("%s", f.Message)
-	case ReasonVersion:
-		return trace.CompareFailed("%s", f.Message)
-	case ReasonRateLimited:
-		return trace.LimitExceeded("%s", f.Message)
-	case ReasonBadRequest:
-		return trace.BadParameter("%s", f.Message)
-	case ReasonNotSupported:
-		return trace.NotImplemented("%s", f.Message)
-	default:
-		return trace.ConnectionProblem(nil, "the platform answered with status %d: %s", code, f.Message)
-	}
-}
--- /dev/null
+++ b/core/conn/rest/errors.go
@@ -0,0 +1,78 @@
+package rest
+
+import (
+	"encoding/json"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+)
+
+// Error is the body of an answer that reports a failure.
+type Error struct {
+	Error Failure `json:"error"`
+}
+
+// Failure names a failure and describes it.
+type Failure struct {
+	Reason  Reason `json:"reason"`
+	Message string `json:"message"`
+}
+
+// Reason names a failure.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNotFound      Reason = "not_found"
+	ReasonAlreadyExists Reason = "already_exists"
+	ReasonVersion       Reason = "version_mismatch"
+	ReasonRateLimited   Reason = "rate_limited"
+	ReasonBadRequest    Reason = "bad_request"
+	ReasonUnavailable   Reason = "unavailable"
+	ReasonNotSupported  Reason = "not_supported"
+)
+
+// Describe returns the status and the body that report err.
+func Describe(err error) (int, Error) {
+	code, reason := fasthttp.StatusServiceUnavailable, ReasonUnavailable
+	switch {
+	case trace.IsNotFound(err):
+		code, reason = fasthttp.StatusNotFound, ReasonNotFound
+	case trace.IsAlreadyExists(err):
+		code, reason = fasthttp.StatusConflict, ReasonAlreadyExists
+	case trace.IsCompareFailed(err):
+		code, reason = fasthttp.StatusPreconditionFailed, ReasonVersion
+	case trace.IsLimitExceeded(err):
+		code, reason = fasthttp.StatusTooManyRequests, ReasonRateLimited
+	case trace.IsBadParameter(err):
+		code, reason = fasthttp.StatusBadRequest, ReasonBadRequest
+	case trace.IsNotImplemented(err):
+		code, reason = fasthttp.StatusNotImplemented, ReasonNotSupported
+	}
+	return code, Error{Error: Failure{Reason: reason, Message: trace.UserMessage(err)}}
+}
+
+// Failed converts an answer that reports a failure. Unknown ones become a
+// trace.ConnectionProblem.
+func Failed(code int, body []byte) error {
+	var e Error
+	if err := json.Unmarshal(body, &e); err != nil || e.Error.Reason == "" {
+		return trace.ConnectionProblem(nil, "the server answered with status %d", code)
+	}
+	switch f := e.Error; f.Reason {
+	case ReasonNotFound:
+		return trace.NotFound("%s", f.Message)
+	case ReasonAlreadyExists:
+		return trace.AlreadyExists("%s", f.Message)
+	case ReasonVersion:
+		return trace.CompareFailed("%s", f.Message)
+	case ReasonRateLimited:
+		return trace.LimitExceeded("%s", f.Message)
+	case ReasonBadRequest:
+		return trace.BadParameter("%s", f.Message)
+	case ReasonNotSupported:
+		return trace.NotImplemented("%s", f.Message)
+	default:
+		return trace.ConnectionProblem(nil, "the server answered with status %d: %s", code, f.Message)
+	}
+}
--- /dev/null
+++ b/core/process/engine/engine.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/rest"
+)
+
+// Engine is a model engine.
+type Engine struct {
+	Addr netip.AddrPort
+	// Timeout bounds reports, orders and reads of cache events; the default
+	// is 1 s. Calls have a time limit of their own.
+	Timeout time.Duration
+
+	caller caller
+}
+
+var _ core.Engine = (*Engine)(nil)
+
+// Do implements core.Engine.
+func (e *Engine) Do(ctx context.Context, call *core.Call) (*core.Reply, error) {
+	reply, err := e.caller.do(ctx, e.Addr, call)
+	if err != nil || reply.Status != http.StatusServiceUnavailable {
+		return reply, err
+	}
+	// A refusal is short; the engine's own 503 answers pass unchanged.
+	defer func() { _ = reply.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(reply.Body, 1<<20))
+	if err != nil {
+		return nil, err
+	}
+	var f rest.Error
+	if json.Unmarshal(data, &f) == nil && f.Error.Reason == ReasonOverloaded {
+		return nil, core.Refuse(core.ReasonUpstreamBusy, f.Error.Message)
+	}
+	reply.Body = io.NopCloser(bytes.NewReader(data))
+	return reply, nil
+}
+
+// Report implements core.Engine.
+func (e *Engine) Report(ctx context.Context) (core.Report, error) {
+	var r Report
+	err := e.own(ctx, http.MethodGet, PathLoad, nil, &r)
+	return core.Report(r), err
+}
+
+// Command implements core.Engine. An order that the engine refuses for its old
+// token fails with trace.CompareFailed.
+func (e *Engine) Command(ctx context.Context, token uint64, verb, argument string) error {
+	return e.own(ctx, http.MethodPost, PathOrders, Order{Token: token, Verb: verb, Argument: argument}, nil)
+}
+
+// CacheEvents implements core.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, from uint64) ([]core.CacheEvent, error) {
+	var in Events
+	if err := e.own(ctx, http.MethodGet, PathEvents+"?from="+strconv.FormatUint(from, 10), nil, &in); err != nil {
+		return nil, err
+	}
+	out := make([]core.CacheEvent, len(in.Events))
+	for i, ev := range in.Events {
+		out[i] = core.CacheEvent(ev)
+	}
+	return out, nil
+}
+
+// own calls the engine's own API.
+func (e *Engine) own(ctx context.Context, method, path string, in, out any) error {
+	call := &core.Call{Method: method, Path: path, Timeout: timed(e.Timeout)}
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return trace.BadParameter("cannot encode the request: %s", err)
+		}
+		call.Body = data
+	}
+	reply, err := e.caller.do(ctx, e.Addr, call)
+	if r, ok := core.AsRefusal(err); ok {
+		return trace.ConnectionProblem(r, "the engine cannot be reached")
+	}
+	if err != nil {
+		return err
+	}
+	return decode(reply, out)
+}
--- a/core/process/objapi/body.go
+++ b/core/process/objapi/body.go
@@ -78,28 +78,3 @@
 	Layer  uint32 `json:"layer"`
 	Expert uint32 `json:"expert"`
 }
-
-// Error is the body of an answer that reports a failure.
-type Error struct {
-	Error Failure `json:"error"`
-}
-
-// Failure names a failure and describes it.
-type Failure struct {
-	Reason  Reason `json:"reason"`
-	Message string `json:"message"`
-}
-
-// Reason names a failure.
-type Reason string
-
-// The reasons.
-const (
-	ReasonNotFound      Reason = "not_found"
-	ReasonAlreadyExists Reason = "already_exists"
-	ReasonVersion       Reason = "version_mismatch"
-	ReasonRateLimited   Reason = "rate_limited"
-	ReasonBadRequest    Reason = "bad_request"
-	ReasonUnavailable   Reason = "unavailable"
-	ReasonNotSupported  Reason = "not_supported"
-)
--- a/core/process/objapi/lister.go
+++ b/core/process/objapi/lister.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/rest"
 	"parsleyroute.example/core/process/meter"
 )
 
@@ -19,7 +20,7 @@
 	// Timeout bounds one request; the default is 2 s.
 	Timeout time.Duration
 
-	conn conn
+	conn rest.Client
 }
 
 var _ core.Lister = (*Lister)(nil)
@@ -28,7 +29,7 @@
 func (l *Lister) Instances(ctx context.Context) ([]core.Instance, uint64, error) {
 	meter.Event("list_read")
 	var body Instances
-	if err := l.conn.call(ctx, l.Addr, cmp.Or(l.Timeout, 2*time.Second), fasthttp.MethodGet, PathInstances, nil, nil, &body); err != nil {
+	if err := l.conn.Call(ctx, l.Addr, cmp.Or(l.Timeout, 2*time.Second), fasthttp.MethodGet, PathInstances, nil, nil, &body); err != nil {
 		return nil, 0, err
 	}
 	list := make([]core.Instance, len(body.Instances))
--- a/core/process/objapi/store.go
+++ b/core/process/objapi/store.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/rest"
 	"parsleyroute.example/core/process/meter"
 )
 
@@ -24,7 +25,7 @@
 	// 10 s. A Watch may take Timeout longer.
 	Wait time.Duration
 
-	conn conn
+	conn rest.Client
 }
 
 var _ core.Store = (*Store)(nil)
@@ -90,7 +91,7 @@
 		"wait_ms": strconv.FormatInt(wait.Milliseconds(), 10),
 	}
 	var page Objects
-	if err := s.conn.call(ctx, s.Addr, wait+s.timeout(), fasthttp.MethodGet, PathWatch, query, nil, &page); err != nil {
+	if err := s.conn.Call(ctx, s.Addr, wait+s.timeout(), fasthttp.MethodGet, PathWatch, query, nil, &page); err != nil {
 		return nil, err
 	}
 	list := make([]core.Object, len(page.Objects))
@@ -108,7 +109,7 @@
 }
 
 func (s *Store) call(ctx context.Context, method, path string, query map[string]string, in, out any) error {
-	return s.conn.call(ctx, s.Addr, s.timeout(), method, path, query, in, out)
+	return s.conn.Call(ctx, s.Addr, s.timeout(), method, path, query, in, out)
 }
 
 func (s *Store) timeout() time.Duration { return cmp.Or(s.Timeout, 2*time.Second) }
--- a/core/process/objapi/weights.go
+++ b/core/process/objapi/weights.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/rest"
 	"parsleyroute.example/core/process/meter"
 )
 
@@ -20,7 +21,7 @@
 	// is 60 s.
 	Timeout time.Duration
 
-	conn conn
+	conn rest.Client
 }
 
 var _ core.Weights = (*Weights)(nil)
@@ -29,5 +30,5 @@
 func (w *Weights) Fetch(ctx context.Context, group string, rank int, layer, expert uint32) error {
 	meter.Event("weights_fetch")
 	in := Fetch{Group: group, Rank: rank, Layer: layer, Expert: expert}
-	return w.conn.call(ctx, w.Addr, cmp.Or(w.Timeout, time.Minute), fasthttp.MethodPost, PathWeights, nil, in, nil)
+	return w.conn.Call(ctx, w.Addr, cmp.Or(w.Timeout, time.Minute), fasthttp.MethodPost, PathWeights, nil, in, nil)
 }
--- a/fakes/main.go
+++ b/fakes/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -15,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"parsleyroute.example/core/process/logs"
+	"parsleyroute.example/fakes/process/serve"
 )
 
 func main() {
@@ -26,9 +28,9 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(platform())
+	root.AddCommand(platform(), engine(), service())
 	if err := root.ExecuteContext(ctx); err != nil {
-		_ = level.Error(logs.New(os.Stderr, "fakes", "", "")).Log("msg", "the program failed", "err", err)
+		_ = level.Error(logs.New(os.Stderr, "fakes", "", "")).Log("msg", "the program failed", "err", err.Error())
 		stop()
 		os.Exit(1)
 	}
@@ -57,6 +59,27 @@
 	cmd.Flags().TextVar(listen, "listen", netip.MustParseAddrPort("127.0.0.1:0"), "loopback address and port; port 0 selects a free one")
 }
 
+// setFlag adds the flag --set, settings in JSON. Settings that it leaves out
+// keep the value that v has.
+func setFlag(cmd *cobra.Command, v any) {
+	cmd.Flags().Var(&settings{v}, "set", "settings in JSON, as the control endpoint takes them")
+}
+
+// settings is a flag that decodes strict JSON.
+type settings struct{ v any }
+
+// String implements pflag.Value.
+func (s *settings) String() string {
+	p, _ := json.Marshal(s.v)
+	return string(p)
+}
+
+// Set implements pflag.Value.
+func (s *settings) Set(text string) error { return serve.Decode([]byte(text), s.v) }
+
+// Type implements pflag.Value.
+func (*settings) Type() string { return "json" }
+
 // logger returns the logger of a subcommand.
 func logger(cmd *cobra.Command, name string) log.Logger {
 	return logs.New(cmd.OutOrStdout(), "fakes", name, "")
--- /dev/null
+++ b/fakes/process/engsrv/cache.go
@@ -0,0 +1,92 @@
+package engsrv
+
+import (
+	"container/list"
+	"sort"
+	"time"
+
+	"parsleyroute.example/core/process/engine"
+)
+
+// maxEvents is the number of cache events kept.
+const maxEvents = 10_000
+
+// cache is the prefix cache: the least recently used block goes first. It is
+// not safe for concurrent use.
+type cache struct {
+	blocks map[uint64]*list.Element
+	order  list.List
+	last   uint64
+	events []event
+}
+
+type event struct {
+	engine.Event
+	at time.Time
+}
+
+// hit returns the number of leading blocks that are cached.
+func (c *cache) hit(prefixes []uint64) int {
+	for i, p := range prefixes {
+		e, ok := c.blocks[p]
+		if !ok {
+			return i
+		}
+		c.order.MoveToFront(e)
+	}
+	return len(prefixes)
+}
+
+// store adds blocks and evicts others above size.
+func (c *cache) store(prefixes []uint64, size int, now time.Time) {
+	if c.blocks == nil {
+		c.blocks = map[uint64]*list.Element{}
+	}
+	for _, p := range prefixes {
+		if e, ok := c.blocks[p]; ok {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.blocks[p] = c.order.PushFront(p)
+		c.announce(p, false, now)
+	}
+	for c.order.Len() > size {
+		c.evict(now)
+	}
+}
+
+func (c *cache) clear(now time.Time) {
+	for c.order.Len() > 0 {
+		c.evict(now)
+	}
+}
+
+func (c *cache) evict(now time.Time) {
+	p := c.order.Remove(c.order.Back()).(uint64)
+	delete(c.blocks, p)
+	c.announce(p, true, now)
+}
+
+func (c *cache) announce(p uint64, evicted bool, now time.Time) {
+	c.last++
+	c.events = append(c.events, event{engine.Event{Sequence: c.last, Prefix: p, Evicted: evicted}, now})
+	if len(c.events) > maxEvents {
+		c.events = append([]event(nil), c.events[maxEvents/2:]...)
+	}
+}
+
+// since returns the events after a sequence number that were made by the time
+// until. One in gap is left out.
+func (c *cache) since(from uint64, until time.Time, gap int) []engine.Event {
+	out := []engine.Event{}
+	i := sort.Search(len(c.events), func(i int) bool { return c.events[i].Sequence > from })
+	for _, e := range c.events[i:] {
+		if e.at.After(until) {
+			break
+		}
+		if gap == 0 || e.Sequence%uint64(gap) != 0 {
+			out = append(out, e.Event)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/fakes/process/engsrv/engsrv_test.go
@@ -0,0 +1,220 @@
+package engsrv_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/engine"
+	"parsleyroute.example/core/suite"
+	"parsleyroute.example/core/suite/answer"
+	_ "parsleyroute.example/core/suite/seed"
+	"parsleyroute.example/fakes/process/engsrv"
+)
+
+func TestEngine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "engine")
+}
+
+func start(change func(*engsrv.Settings)) (*engsrv.Server, *engine.Engine) {
+	GinkgoHelper()
+	set := engsrv.Defaults
+	set.Cold, set.Tokens, set.BaseMs = 16, 16, 2
+	change(&set)
+	srv := &engsrv.Server{Settings: &set}
+	Expect(srv.Start()).To(Succeed())
+	DeferCleanup(srv.Close)
+	return srv, &engine.Engine{Addr: srv.Addr(), Timeout: 3 * time.Second}
+}
+
+func same(*engsrv.Settings) {}
+
+func prompt(id string, tokens int) *core.Call {
+	return &core.Call{
+		RequestID: id, IdempotencyKey: "k", Method: "POST", Path: "/v1/generate",
+		Body: fmt.Appendf(nil, `{"stream":true,"tokens":%d,"prompt":"a"}`, tokens),
+	}
+}
+
+func want(c *core.Call, tokens int) string {
+	return string(answer.Of(c.Body, c.IdempotencyKey, c.RequestID).Whole(tokens))
+}
+
+var _ = suite.Engine("Model engine", func() suite.Upstream {
+	srv, e := start(same)
+	return suite.Upstream{Engine: e, Tokens: 16, Kill: func() { _ = srv.Close() }}
+})
+
+var _ = Describe("Model engine", func() {
+	ctx := context.Background()
+	all := func(e core.Engine, c *core.Call) string {
+		GinkgoHelper()
+		reply, err := e.Do(ctx, c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Status).To(Equal(200))
+		data, err := io.ReadAll(reply.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Body.Close()).To(Succeed())
+		return string(data)
+	}
+
+	// Guards against streams that are held back until they are whole.
+	It("streams each token as it is made", func() {
+		_, e := start(func(s *engsrv.Settings) { s.BaseMs = 20 })
+		c := prompt("r", 10)
+		reply, err := e.Do(ctx, c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Resumable).To(BeTrue())
+		Expect(reply.Headers).To(ContainElement(core.Header{Name: "Content-Type", Value: "text/event-stream"}))
+		p := make([]byte, answer.EventSize)
+		begin := time.Now()
+		_, err = io.ReadFull(reply.Body, p)
+		Expect(err).NotTo(HaveOccurred())
+		rest, err := io.ReadAll(reply.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(begin)).To(BeNumerically(">", 100*time.Millisecond))
+		Expect(string(p) + string(rest)).To(Equal(want(c, 10)))
+	})
+
+	// Guards against work that goes on for callers that have gone, and against
+	// cut streams that pass for whole ones.
+	It("cancels the work of a closed body, of an ended context and of a restart", func() {
+		srv, e := start(func(s *engsrv.Settings) { s.BaseMs = 5 })
+		reply, err := e.Do(ctx, prompt("a", 10_000))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Body.Close()).To(Succeed())
+		Eventually(func() int { return srv.Stats().Cancelled }, "2s").Should(Equal(1))
+
+		gone, cancel := context.WithCancel(ctx)
+		reply, err = e.Do(gone, prompt("b", 10_000))
+		Expect(err).NotTo(HaveOccurred())
+		time.AfterFunc(20*time.Millisecond, cancel)
+		_, err = io.ReadAll(reply.Body)
+		Expect(trace.IsConnectionProblem(err)).To(BeTrue(), "%v", err)
+		Eventually(func() int { return srv.Stats().Cancelled }, "2s").Should(Equal(2))
+
+		reply, err = e.Do(ctx, prompt("c", 10_000))
+		Expect(err).NotTo(HaveOccurred())
+		before := srv.Stats().Incarnation
+		time.AfterFunc(20*time.Millisecond, srv.Restart)
+		_, err = io.ReadAll(reply.Body)
+		Expect(trace.IsConnectionProblem(err)).To(BeTrue(), "%v", err)
+		Expect(srv.Stats().Incarnation).NotTo(Equal(before))
+		Expect(srv.Stats().Inflight).To(BeZero())
+		Expect(all(e, prompt("d", 4))).To(Equal(want(prompt("d", 4), 4)))
+	})
+
+	// Guards against resumed streams that repeat or leave out a byte.
+	It("resumes a stream at any offset", func() {
+		_, e := start(func(s *engsrv.Settings) { s.BaseMs = 0.1 })
+		c := prompt("r", 5)
+		whole := want(c, 5)
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			c := *c
+			c.Offset = uint64(rapid.IntRange(0, 5*answer.EventSize).Draw(t, "offset"))
+			Expect(all(e, &c)).To(Equal(whole[c.Offset:]))
+		})
+		c.Offset = 1 << 20
+		reply, err := e.Do(ctx, c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Status).To(Equal(400))
+	})
+
+	// Guards against an engine that bears as much when cold as when warm.
+	It("bears more with each request served and little when cold", func() {
+		srv, e := start(func(s *engsrv.Settings) { s.Cold, s.Max, s.Step = 1, 3, 2 })
+		for i := range 6 {
+			all(e, prompt(fmt.Sprint(i), 1))
+		}
+		Expect(srv.Stats().Bears).To(Equal(3))
+		Expect(srv.Stats().Violations).To(BeZero())
+		srv.Cool()
+		Expect(srv.Stats().Bears).To(Equal(1))
+		first, err := e.Do(ctx, prompt("a", 10_000))
+		Expect(err).NotTo(HaveOccurred())
+		second, err := e.Do(ctx, prompt("b", 10_000))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(srv.Stats().GraceViolations).To(Equal(1))
+		srv.Restart()
+		for _, r := range []*core.Reply{first, second} {
+			_, err := io.ReadAll(r.Body)
+			Expect(err).To(HaveOccurred())
+		}
+		_, err = e.Do(ctx, prompt("c", 10_000))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = e.Do(ctx, prompt("d", 10_000))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = e.Do(ctx, prompt("e", 10_000))
+		r, ok := core.AsRefusal(err)
+		Expect(ok).To(BeTrue(), "%v", err)
+		Expect(r.Reason).To(Equal(core.ReasonUpstreamBusy))
+		Expect(r.Run).To(Equal(core.RunNo))
+	})
+
+	// Guards against reports that are fresher than the platform's.
+	It("reports its load with a lag", func() {
+		srv, e := start(func(s *engsrv.Settings) { s.ReportLagMs = 300 })
+		reply, err := e.Do(ctx, prompt("a", 10_000))
+		Expect(err).NotTo(HaveOccurred())
+		r, err := e.Report(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Inflight).To(BeZero())
+		Expect(r.Incarnation).To(Equal(srv.Stats().Incarnation))
+		Eventually(func() int { r, _ := e.Report(ctx); return r.Inflight }, "2s").Should(Equal(1))
+		Expect(reply.Body.Close()).To(Succeed())
+		set := srv.Get()
+		set.NoReport = true
+		Expect(srv.Set(set)).To(Succeed())
+		_, err = e.Report(ctx)
+		Expect(trace.IsNotImplemented(err)).To(BeTrue(), "%v", err)
+	})
+
+	// Guards against a prefix cache that saves nothing, and against events
+	// that come at once or whole.
+	It("saves the prefill of cached prompts and announces them late, with gaps", func() {
+		srv, e := start(func(s *engsrv.Settings) { s.PrefillUs, s.EventDelayMs, s.EventGap = 100, 200, 4 })
+		body := bytes.Repeat([]byte("x"), 10*engine.BlockSize)
+		c := &core.Call{Method: "POST", Path: "/", Body: body, RequestID: "a"}
+		begin := time.Now()
+		all(e, c)
+		first := time.Since(begin)
+		events, err := e.CacheEvents(ctx, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(events).To(BeEmpty())
+		begin = time.Now()
+		all(e, c)
+		Expect(first - time.Since(begin)).To(BeNumerically(">", 30*time.Millisecond))
+		Expect(srv.Stats().Cached).To(Equal(10))
+		Eventually(func() []core.CacheEvent { events, _ = e.CacheEvents(ctx, 0); return events }, "2s").Should(HaveLen(8))
+		Expect(events[3]).To(Equal(core.CacheEvent{Sequence: 5, Prefix: engine.Prefixes(body)[4]}))
+		srv.Cool()
+		Eventually(func() []core.CacheEvent { events, _ = e.CacheEvents(ctx, 10); return events }, "2s").Should(HaveLen(7))
+		Expect(events[0].Evicted).To(BeTrue())
+	})
+
+	// Guards against stand-ins that hide whether a stale order was carried out.
+	It("honours or ignores fencing tokens", func() {
+		srv, e := start(same)
+		Expect(e.Command(ctx, 7, "load", "m")).To(Succeed())
+		Expect(e.Command(ctx, 6, "load", "old")).To(Satisfy(trace.IsCompareFailed))
+		Expect(e.Command(ctx, 8, "dance", "")).To(Satisfy(trace.IsBadParameter))
+		set := srv.Get()
+		set.HonourToken = false
+		Expect(srv.Set(set)).To(Succeed())
+		Expect(e.Command(ctx, 6, "load", "old")).To(Succeed())
+		orders := srv.Stats().Orders
+		Expect(orders).To(HaveLen(3))
+		Expect(orders[1].Stale && !orders[1].Taken).To(BeTrue())
+		Expect(orders[2].Stale && orders[2].Taken).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/fakes/process/load/tally.go
@@ -0,0 +1,58 @@
+package load
+
+import "sync"
+
+// Runs tells how often requests ran.
+type Runs struct {
+	Keys     map[string]int `json:"keys"`
+	Requests map[string]int `json:"requests"`
+	// Repeated holds the keys that ran more than once.
+	Repeated []string `json:"repeated"`
+}
+
+// Tally counts the runs of each idempotency key and each request id. Its zero
+// value is ready for use.
+type Tally struct {
+	mu       sync.Mutex
+	keys     map[string]int
+	requests map[string]int
+	repeated []string
+}
+
+// Add counts a run and returns the number of runs of the key, or of the
+// request id if there is no key.
+func (t *Tally) Add(key, request string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.keys == nil {
+		t.keys, t.requests = map[string]int{}, map[string]int{}
+	}
+	t.requests[request]++
+	if key == "" {
+		return t.requests[request]
+	}
+	t.keys[key]++
+	if t.keys[key] == 2 {
+		t.repeated = append(t.repeated, key)
+	}
+	return t.keys[key]
+}
+
+// Runs returns the counts of one key or request id, or of all if both are
+// empty.
+func (t *Tally) Runs(key, request string) Runs {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := Runs{Keys: map[string]int{}, Requests: map[string]int{}, Repeated: append([]string{}, t.repeated...)}
+	if key != "" || request != "" {
+		r.Keys[key], r.Requests[request] = t.keys[key], t.requests[request]
+		return r
+	}
+	for k, n := range t.keys {
+		r.Keys[k] = n
+	}
+	for k, n := range t.requests {
+		r.Requests[k] = n
+	}
+	return r
+}
--- a/fakes/process/objsrv/server.go
+++ b/fakes/process/objsrv/server.go
@@ -48,6 +48,10 @@
 	WeightDelayMs int     `json:"weight_delay_ms"`
 }
 
+// Defaults are the limits of the platform: several hundred writes and about two
+// thousand reads a second.
+var Defaults = Faults{WriteRate: 400, ReadRate: 2000}
+
 // Stats counts calls since the start.
 type Stats struct {
 	Revision uint64 `json:"revision"`
@@ -99,13 +103,12 @@
 	s.store.After = s.after
 	s.changed = make(chan struct{})
 	s.reads, s.writes, s.weights = limiter(), limiter(), limiter()
-	s.set(s.Faults)
-	if !s.Listen.IsValid() {
-		s.Listen = netip.MustParseAddrPort("127.0.0.1:0")
-	}
 	if s.Logger == nil {
 		s.Logger = log.NewNopLogger()
 	}
+	if err := s.Set(s.Faults); err != nil {
+		return err
+	}
 	h, err := serve.Start(s.Listen, s.routes)
 	s.http = h
 	return err
--- a/fakes/process/serve/serve.go
+++ b/fakes/process/serve/serve.go
@@ -5,15 +5,16 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/gravitational/trace"
-	"github.com/valyala/fasthttp"
 
-	"parsleyroute.example/core/process/objapi"
+	"parsleyroute.example/core/conn/rest"
 )
 
 // Server is a running HTTP server.
@@ -22,10 +23,12 @@
 	ln   net.Listener
 	addr netip.AddrPort
 	done chan error
+	once sync.Once
+	err  error
 }
 
 // Start serves the routes that setup adds at the loopback address listen; port
-// zero selects a free one. It fails with trace.BadParameter for an address
+// zero or no address selects a free one. It fails with trace.BadParameter for an address
 // other than loopback.
 func Start(listen netip.AddrPort, setup func(app *fiber.App)) (*Server, error) {
 	ln, err := Listen(listen)
@@ -52,7 +55,10 @@
 
 // Listen opens a TCP listener at a loopback address.
 func Listen(listen netip.AddrPort) (net.Listener, error) {
-	if !listen.IsValid() || !listen.Addr().IsLoopback() {
+	if listen == (netip.AddrPort{}) {
+		listen = netip.MustParseAddrPort("127.0.0.1:0")
+	}
+	if !listen.Addr().IsLoopback() {
 		return nil, trace.BadParameter("the listen address %q is not a loopback address with a port", listen)
 	}
 	ln, err := net.Listen("tcp", listen.String())
@@ -65,8 +71,14 @@
 // Addr returns the address at which the server listens.
 func (s *Server) Addr() netip.AddrPort { return s.addr }
 
-// Close stops the server and waits up to a second for calls in flight.
+// Close stops the server and waits up to a second for calls in flight. It may
+// be called again.
 func (s *Server) Close() error {
+	s.once.Do(func() { s.err = s.shut() })
+	return s.err
+}
+
+func (s *Server) shut() error {
 	err := s.app.ShutdownWithTimeout(time.Second)
 	// The listener is still open if Close overtook the start.
 	_ = s.ln.Close()
@@ -79,13 +91,19 @@
 	return nil
 }
 
-// Body decodes the JSON body of the call into v. An unknown key or a wrong
-// type is a trace.BadParameter.
-func Body(c fiber.Ctx, v any) error {
-	dec := json.NewDecoder(bytes.NewReader(c.Body()))
+// Body decodes the JSON body of the call into v, as Decode does.
+func Body(c fiber.Ctx, v any) error { return Decode(c.Body(), v) }
+
+// Decode decodes JSON into v. An unknown key, a wrong type or anything after
+// the document is a trace.BadParameter.
+func Decode(data []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
-		return trace.BadParameter("the body is not valid: %s", err)
+		return trace.BadParameter("the JSON is not valid: %s", err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return trace.BadParameter("something follows the JSON document")
 	}
 	return nil
 }
@@ -99,26 +117,14 @@
 
 // fail answers with a typed JSON error.
 func fail(c fiber.Ctx, err error) error {
-	code, reason := fasthttp.StatusServiceUnavailable, objapi.ReasonUnavailable
 	var fe *fiber.Error
-	switch {
-	case errors.As(err, &fe):
-		code, reason = fe.Code, objapi.ReasonBadRequest
-		if code == fasthttp.StatusNotFound {
-			reason = objapi.ReasonNotFound
+	if errors.As(err, &fe) {
+		reason := rest.ReasonBadRequest
+		if fe.Code == fiber.StatusNotFound {
+			reason = rest.ReasonNotFound
 		}
-	case trace.IsNotFound(err):
-		code, reason = fasthttp.StatusNotFound, objapi.ReasonNotFound
-	case trace.IsAlreadyExists(err):
-		code, reason = fasthttp.StatusConflict, objapi.ReasonAlreadyExists
-	case trace.IsCompareFailed(err):
-		code, reason = fasthttp.StatusPreconditionFailed, objapi.ReasonVersion
-	case trace.IsLimitExceeded(err):
-		code, reason = fasthttp.StatusTooManyRequests, objapi.ReasonRateLimited
-	case trace.IsBadParameter(err):
-		code, reason = fasthttp.StatusBadRequest, objapi.ReasonBadRequest
-	case trace.IsNotImplemented(err):
-		code, reason = fasthttp.StatusNotImplemented, objapi.ReasonNotSupported
+		return c.Status(fe.Code).JSON(rest.Error{Error: rest.Failure{Reason: reason, Message: fe.Message}})
 	}
-	return c.Status(code).JSON(objapi.Error{Error: objapi.Failure{Reason: reason, Message: trace.UserMessage(err)}})
+	code, body := rest.Describe(err)
+	return c.Status(code).JSON(body)
 }
--- /dev/null
+++ b/fakes/upstream.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"parsleyroute.example/fakes/process/engsrv"
+	"parsleyroute.example/fakes/process/plain"
+)
+
+func engine() *cobra.Command {
+	set := engsrv.Defaults
+	s := &engsrv.Server{Settings: &set}
+	cmd := &cobra.Command{
+		Use:   "engine",
+		Short: "Serve a model engine",
+		Args:  cobra.NoArgs,
+	}
+	listenFlag(cmd, &s.Listen)
+	setFlag(cmd, &set)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		s.Logger = logger(cmd, "engine")
+		return run(cmd, s.Logger, s)
+	}
+	return cmd
+}
+
+func service() *cobra.Command {
+	set := plain.Defaults
+	s := &plain.Server{Settings: &set}
+	cmd := &cobra.Command{
+		Use:   "plain",
+		Short: "Serve a plain service whose calls may not be repeated",
+		Args:  cobra.NoArgs,
+	}
+	listenFlag(cmd, &s.Listen)
+	setFlag(cmd, &set)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		return run(cmd, logger(cmd, "plain"), s)
+	}
+	return cmd
+}
