--- a/core/process/admin/doc.go
+++ b/core/process/admin/doc.go
@@ -19,5 +19,6 @@
 // was lost is recognised by operator and nonce, here when the store's answer is
 // lost, and in a repeated call when ours is lost. Errors have the form
 // {"error":{"reason","message","run","retry_after_ms","conflict"}}, where run
-// tells whether the write took effect: no, unknown or yes.
+// tells whether this call took effect: no, unknown or yes. A caller that got no
+// answer to an earlier call with the same nonce has to take "no" for unknown.
 package admin
--- a/core/process/admin/types.go
+++ b/core/process/admin/types.go
@@ -15,8 +15,8 @@
 // List answers a list of one kind.
 type List struct {
 	Objects []Object `json:"objects"`
-	// Revision is the store's at which the list was complete, or the highest
-	// version that the entry has when the source is its snapshot.
+	// Revision is the store's at which the list was complete, or the version
+	// of the entry's configuration when the source is its snapshot.
 	Revision uint64 `json:"revision"`
 	// Source is "store" or "snapshot".
 	Source string `json:"source"`
--- a/core/process/admin/write.go
+++ b/core/process/admin/write.go
@@ -100,20 +100,8 @@
 
 // highest returns the highest version of a declaration that this instance has.
 func (a *API) highest() uint64 {
-	var v uint64
-	for _, o := range a.Objects() {
-		if isDeclaration(o.Kind) {
-			v = max(v, o.Version)
-		}
-	}
-	return v
-}
-
-func isDeclaration(kind core.Kind) bool {
-	for _, k := range core.DeclarationKinds {
-		if k == kind {
-			return true
-		}
+	if t := a.Table(); t != nil {
+		return t.Version
 	}
-	return false
+	return 0
 }
--- a/parsley/cmds/wait.go
+++ b/parsley/cmds/wait.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"time"
 
@@ -69,8 +68,7 @@
 			break
 		}
 	}
-	var f *failure
-	if lastErr != nil && !errors.As(lastErr, &f) && confirmed == 0 && len(s.Instances) == 0 {
+	if lastErr != nil && len(s.Instances) == 0 {
 		return fail(NotInForce, trace.LimitExceeded("the change is accepted, but no status was got within %s: %s",
 			w.limit, message(lastErr)))
 	}
