--- /dev/null
+++ b/fakes/process/proxy/link.go
@@ -0,0 +1,303 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"parsleyroute.example/fakes/process/serve"
+)
+
+// Pair forwards the connections of one address to another.
+type Pair struct {
+	Name   string         `json:"name"`
+	Listen netip.AddrPort `json:"listen"`
+	Target netip.AddrPort `json:"target"`
+}
+
+// Freeze names the directions in which nothing passes.
+type Freeze string
+
+// The values of Freeze.
+const (
+	FreezeNone     Freeze = ""
+	FreezeToTarget Freeze = "to_target"
+	FreezeToClient Freeze = "to_client"
+	FreezeBoth     Freeze = "both"
+)
+
+// Fault is the fault state of a link. Its zero value forwards at once.
+type Fault struct {
+	// Cut closes all connections and refuses new ones.
+	Cut bool `json:"cut"`
+	// Freeze accepts connections and holds back what is sent, and the ends of
+	// connections, until it is lifted.
+	Freeze Freeze `json:"freeze"`
+	// DelayMs holds back each byte for a time in each direction.
+	DelayMs int `json:"delay_ms"`
+	// HalfOpen closes the target's side of all connections without telling
+	// the clients, and accepts new ones that lead nowhere.
+	HalfOpen bool `json:"half_open"`
+}
+
+func (f Fault) check() error {
+	switch f.Freeze {
+	case FreezeNone, FreezeToTarget, FreezeToClient, FreezeBoth:
+	default:
+		return trace.BadParameter("freeze %q is not to_target, to_client or both", f.Freeze)
+	}
+	if f.DelayMs < 0 {
+		return trace.BadParameter("delay_ms is negative")
+	}
+	return nil
+}
+
+// Status describes a link.
+type Status struct {
+	Pair
+	Fault
+	// Accepted counts the connections since the start; Open are those now.
+	Accepted int `json:"accepted"`
+	Open     int `json:"open"`
+}
+
+// link is one running pair.
+type link struct {
+	wg sync.WaitGroup
+
+	mu       sync.Mutex
+	pair     Pair
+	fault    Fault
+	changed  chan struct{}
+	ln       net.Listener
+	conns    map[*joint]struct{}
+	accepted int
+	closed   bool
+}
+
+// joint is one forwarded connection. target is nil if it leads nowhere.
+type joint struct {
+	client, target net.Conn
+	done           chan struct{}
+	once           sync.Once
+}
+
+func (j *joint) close() {
+	j.once.Do(func() {
+		close(j.done)
+		_ = j.client.Close()
+		if j.target != nil {
+			_ = j.target.Close()
+		}
+	})
+}
+
+func open(p Pair) (*link, error) {
+	if !p.Target.Addr().IsLoopback() {
+		return nil, trace.BadParameter("the target %q is not a loopback address with a port", p.Target)
+	}
+	ln, err := serve.Listen(p.Listen)
+	if err != nil {
+		return nil, err
+	}
+	p.Listen = netip.MustParseAddrPort(ln.Addr().String())
+	l := &link{pair: p, ln: ln, changed: make(chan struct{}), conns: map[*joint]struct{}{}}
+	l.wg.Go(func() { l.accept(ln) })
+	return l, nil
+}
+
+func (l *link) status() Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Status{Pair: l.pair, Fault: l.fault, Accepted: l.accepted, Open: len(l.conns)}
+}
+
+// set changes the fault state.
+func (l *link) set(f Fault) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return trace.NotFound("the link %q is closed", l.pair.Name)
+	}
+	old := l.fault
+	if old.Cut && !f.Cut {
+		ln, err := serve.Listen(l.pair.Listen)
+		if err != nil {
+			return err
+		}
+		l.ln = ln
+		l.wg.Go(func() { l.accept(ln) })
+	}
+	if f.Cut && !old.Cut {
+		_ = l.ln.Close()
+	}
+	for j := range l.conns {
+		switch {
+		case f.Cut, old.HalfOpen && !f.HalfOpen:
+			j.close()
+		case f.HalfOpen && j.target != nil:
+			_ = j.target.Close()
+		}
+	}
+	l.fault = f
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return nil
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	l.closed = true
+	_ = l.ln.Close()
+	for j := range l.conns {
+		j.close()
+	}
+	l.mu.Unlock()
+	l.wg.Wait()
+}
+
+func (l *link) accept(ln net.Listener) {
+	for {
+		client, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		l.wg.Go(func() { l.forward(client) })
+	}
+}
+
+// forward serves one connection to its end.
+func (l *link) forward(client net.Conn) {
+	j := &joint{client: client, done: make(chan struct{})}
+	defer j.close()
+	if !l.half() {
+		target, err := net.DialTimeout("tcp", l.pair.Target.String(), time.Second)
+		if err != nil {
+			return
+		}
+		j.target = target
+	}
+	l.mu.Lock()
+	if l.closed || l.fault.Cut {
+		l.mu.Unlock()
+		return
+	}
+	if l.fault.HalfOpen && j.target != nil {
+		_ = j.target.Close()
+	}
+	l.conns[j] = struct{}{}
+	l.accepted++
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.conns, j)
+		l.mu.Unlock()
+	}()
+	if j.target == nil {
+		_, _ = io.Copy(io.Discard, client)
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { l.copy(j, j.target, client, FreezeToTarget) })
+	wg.Go(func() { l.copy(j, client, j.target, FreezeToClient) })
+	wg.Wait()
+}
+
+// chunk is what was read at once; the last one of a direction has an error.
+type chunk struct {
+	data []byte
+	due  time.Time
+	err  error
+}
+
+// copy passes on what comes from src. It reads ahead, so that a delay does not
+// limit the rate.
+func (l *link) copy(j *joint, dst, src net.Conn, way Freeze) {
+	queue := make(chan chunk, 256)
+	go func() {
+		defer close(queue)
+		for {
+			buf := make([]byte, 16<<10)
+			n, err := src.Read(buf)
+			f, _ := l.state()
+			c := chunk{data: buf[:n], due: time.Now().Add(time.Duration(f.DelayMs) * time.Millisecond), err: err}
+			select {
+			case queue <- c:
+			case <-j.done:
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for c := range queue {
+		if !l.pass(j, c.due, way) {
+			return
+		}
+		if len(c.data) > 0 {
+			if _, err := dst.Write(c.data); err != nil && !l.half() {
+				j.close()
+				return
+			}
+		}
+		switch {
+		case c.err == nil:
+		case l.half():
+			// The other side is not told; it is closed with the link or when
+			// the fault is lifted.
+			<-j.done
+			return
+		case errors.Is(c.err, io.EOF):
+			if cw, ok := dst.(interface{ CloseWrite() error }); ok {
+				_ = cw.CloseWrite()
+			}
+			return
+		default:
+			j.close()
+			return
+		}
+	}
+}
+
+// pass waits until the time due has come and the direction is not frozen. It
+// returns false if the connection was closed.
+func (l *link) pass(j *joint, due time.Time, way Freeze) bool {
+	t := time.NewTimer(time.Until(due))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-j.done:
+		return false
+	}
+	for {
+		f, changed := l.state()
+		if f.Freeze != way && f.Freeze != FreezeBoth {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-j.done:
+			return false
+		}
+	}
+}
+
+func (l *link) half() bool {
+	f, _ := l.state()
+	return f.HalfOpen
+}
+
+func (l *link) state() (Fault, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fault, l.changed
+}
--- /dev/null
+++ b/fakes/process/proxy/server.go
@@ -0,0 +1,136 @@
+package proxy
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/gravitational/trace"
+
+	"parsleyroute.example/fakes/process/serve"
+)
+
+// Server runs links and their control endpoints. The fields are set before
+// Start.
+type Server struct {
+	// Listen is the address of the control endpoints; the default is a free
+	// port.
+	Listen netip.AddrPort
+	// Pairs are the links at the start.
+	Pairs []Pair
+
+	http *serve.Server
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// Start serves until Close.
+func (s *Server) Start() error {
+	s.links = map[string]*link{}
+	for _, p := range s.Pairs {
+		if _, err := s.Add(p); err != nil {
+			s.shut()
+			return err
+		}
+	}
+	h, err := serve.Start(s.Listen, s.routes)
+	if err != nil {
+		s.shut()
+	}
+	s.http = h
+	return err
+}
+
+// Addr returns the address of the control endpoints.
+func (s *Server) Addr() netip.AddrPort { return s.http.Addr() }
+
+// Close closes all connections and stops the server.
+func (s *Server) Close() error {
+	s.shut()
+	return s.http.Close()
+}
+
+func (s *Server) shut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.links {
+		l.close()
+	}
+}
+
+// Add starts a link. Port zero selects a free one.
+func (s *Server) Add(p Pair) (Status, error) {
+	if p.Name == "" {
+		return Status{}, trace.BadParameter("a pair needs a name")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.links[p.Name] != nil {
+		return Status{}, trace.AlreadyExists("the pair %q exists", p.Name)
+	}
+	l, err := open(p)
+	if err != nil {
+		return Status{}, err
+	}
+	s.links[p.Name] = l
+	return l.status(), nil
+}
+
+// Set changes the fault state of a link, or of all links if the name is "*".
+func (s *Server) Set(name string, change func(*Fault) error) error {
+	s.mu.Lock()
+	links := slices.Collect(maps.Values(s.links))
+	if name != "*" {
+		links = []*link{s.links[name]}
+	}
+	s.mu.Unlock()
+	for _, l := range links {
+		if l == nil {
+			return trace.NotFound("the pair %q does not exist", name)
+		}
+		f, _ := l.state()
+		if err := change(&f); err != nil {
+			return err
+		}
+		if err := l.set(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Links returns the state of all links by name.
+func (s *Server) Links() map[string]Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]Status{}
+	for n, l := range s.links {
+		out[n] = l.status()
+	}
+	return out
+}
+
+func (s *Server) routes(app *fiber.App) {
+	app.Get("/control/links", func(c fiber.Ctx) error { return c.JSON(s.Links()) })
+	app.Post("/control/links", func(c fiber.Ctx) error {
+		var p Pair
+		if err := serve.Body(c, &p); err != nil {
+			return err
+		}
+		st, err := s.Add(p)
+		if err != nil {
+			return err
+		}
+		return c.JSON(st)
+	})
+	// Keys that the body leaves out keep their value.
+	app.Put("/control/links", func(c fiber.Ctx) error {
+		if err := s.Set(c.Query("name"), func(f *Fault) error { return serve.Body(c, f) }); err != nil {
+			return err
+		}
+		return c.JSON(s.Links())
+	})
+}
