Add the rank group model, its server and its adapter

Ranks wait for each other in each step. A replaced rank takes over the promise of the others when it joins, because the outcome of a switch may be decided before it does.

--- /dev/null
+++ b/core/process/group/body.go
@@ -0,0 +1,87 @@
+package group
+
+import (
+	"fmt"
+
+	"parsleyroute.example/core"
+)
+
+// Op is the last part of the path of a call to a rank.
+type Op string
+
+// The calls. OpMap answers a Map, OpLoad a Load, OpStage a Moved, and the
+// others a State.
+const (
+	OpInspect Op = "inspect"
+	OpStage   Op = "stage"
+	OpPrepare Op = "prepare"
+	OpDecide  Op = "decide"
+	OpLoad    Op = "load"
+	OpMap     Op = "map"
+)
+
+// Path returns the path of a call to a rank.
+func Path(rank int, op Op) string { return fmt.Sprintf("/ranks/%d/%s", rank, op) }
+
+// Ballot is a core.Ballot in JSON.
+type Ballot struct {
+	Token  uint64 `json:"token"`
+	Number uint64 `json:"number"`
+}
+
+// Map is a core.ExpertMap in JSON.
+type Map struct {
+	Epoch        uint64   `json:"epoch"`
+	Layers       int      `json:"layers"`
+	Ranks        int      `json:"ranks"`
+	SlotsPerRank int      `json:"slots_per_rank"`
+	Experts      int      `json:"experts"`
+	Slots        []uint32 `json:"slots"`
+}
+
+// Request is the body of a call. Each call uses the fields it needs.
+type Request struct {
+	Ballot Ballot `json:"ballot"`
+	Epoch  uint64 `json:"epoch,omitempty"`
+	Step   uint64 `json:"step,omitempty"`
+	Commit bool   `json:"commit,omitempty"`
+	Map    *Map   `json:"map,omitempty"`
+}
+
+// State is a core.RankState in JSON.
+type State struct {
+	Step          uint64   `json:"step"`
+	ActiveEpoch   uint64   `json:"active_epoch"`
+	Ballot        Ballot   `json:"ballot"`
+	PromisedEpoch uint64   `json:"promised_epoch"`
+	PromisedStep  uint64   `json:"promised_step"`
+	Holding       bool     `json:"holding"`
+	Committed     bool     `json:"committed"`
+	Staged        []uint64 `json:"staged"`
+}
+
+// FromState converts a state to JSON.
+func FromState(s core.RankState) State {
+	return State{
+		Step: s.Step, ActiveEpoch: s.ActiveEpoch, Ballot: Ballot(s.Ballot), PromisedEpoch: s.PromisedEpoch,
+		PromisedStep: s.PromisedStep, Holding: s.Holding, Committed: s.Committed, Staged: s.Staged,
+	}
+}
+
+// Core converts a state from JSON.
+func (s State) Core() core.RankState {
+	return core.RankState{
+		Step: s.Step, ActiveEpoch: s.ActiveEpoch, Ballot: core.Ballot(s.Ballot), PromisedEpoch: s.PromisedEpoch,
+		PromisedStep: s.PromisedStep, Holding: s.Holding, Committed: s.Committed, Staged: s.Staged,
+	}
+}
+
+// Moved answers OpStage with the number of experts loaded.
+type Moved struct {
+	Moved int `json:"moved"`
+}
+
+// Load answers OpLoad, in tokens a step, with shape Layers x Experts.
+type Load struct {
+	Load [][]float64 `json:"load"`
+}
--- /dev/null
+++ b/core/suite/group.go
@@ -0,0 +1,163 @@
+package suite
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"parsleyroute.example/core"
+)
+
+// Ranks is a group under test whose steps take at most 5 ms. It has two ranks
+// or more and no load.
+type Ranks struct {
+	Ranks []core.Group
+	// Map is the map with which the group starts.
+	Map *core.ExpertMap
+}
+
+// Group registers the specs of core.Group. open starts a group, and releases
+// it with DeferCleanup.
+func Group(name string, open func() Ranks) bool {
+	return ginkgo.Describe(name, func() {
+		var g Ranks
+		var next *core.ExpertMap
+		ctx := context.Background()
+		low, high := core.Ballot{Token: 1, Number: 9}, core.Ballot{Token: 2, Number: 1}
+		ginkgo.BeforeEach(func() {
+			g = open()
+			next = g.Map.Clone()
+			next.Epoch++
+			for i, e := range next.Slots {
+				next.Slots[i] = uint32((int(e) + 1) % next.Experts)
+			}
+		})
+		state := func(r core.Group) core.RankState {
+			ginkgo.GinkgoHelper()
+			st, err := r.Inspect(ctx, core.Ballot{})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			return st
+		}
+		// prepare promises a switch on all ranks, and returns its step.
+		prepare := func(b core.Ballot, ahead uint64) uint64 {
+			ginkgo.GinkgoHelper()
+			step := state(g.Ranks[0]).Step + ahead
+			for _, r := range g.Ranks {
+				_, err := r.Stage(ctx, b, next)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				st, err := r.Prepare(ctx, b, next.Epoch, step)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				gomega.Expect(st.PromisedStep).To(gomega.Equal(step))
+			}
+			return step
+		}
+		decide := func(b core.Ballot, step uint64, commit bool) {
+			ginkgo.GinkgoHelper()
+			for _, r := range g.Ranks {
+				_, err := r.Decide(ctx, b, next.Epoch, step, commit)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+		}
+		epochs := func() []uint64 {
+			out := make([]uint64, len(g.Ranks))
+			for i, r := range g.Ranks {
+				out[i] = state(r).ActiveEpoch
+			}
+			return out
+		}
+		all := func(epoch uint64) []uint64 {
+			out := make([]uint64, len(g.Ranks))
+			for i := range out {
+				out[i] = epoch
+			}
+			return out
+		}
+		runs := func() {
+			ginkgo.GinkgoHelper()
+			step := state(g.Ranks[0]).Step
+			gomega.Eventually(func() uint64 { return state(g.Ranks[0]).Step }, "5s").Should(gomega.BeNumerically(">", step+1))
+		}
+
+		// Guards against ranks that switch before, or go on without, the outcome.
+		ginkgo.It("holds at the promised step until the outcome is known", func() {
+			step := prepare(low, 200)
+			gomega.Eventually(func() bool { return state(g.Ranks[1]).Holding }, "10s").Should(gomega.BeTrue())
+			time.Sleep(20 * time.Millisecond)
+			gomega.Expect(state(g.Ranks[0]).Step).To(gomega.Equal(step))
+			gomega.Expect(epochs()).To(gomega.Equal(all(g.Map.Epoch)))
+			decide(low, step, true)
+			runs()
+			gomega.Expect(epochs()).To(gomega.Equal(all(next.Epoch)))
+			decide(low, step, true)
+			_, err := g.Ranks[0].Decide(ctx, low, next.Epoch, step, false)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+		})
+
+		// Guards against switches that are given up and still happen.
+		ginkgo.It("goes on with its map after an abort", func() {
+			step := prepare(low, 200)
+			decide(low, step, false)
+			decide(low, step, false)
+			gomega.Eventually(func() uint64 { return state(g.Ranks[0]).Step }, "10s").Should(gomega.BeNumerically(">", step))
+			gomega.Expect(epochs()).To(gomega.Equal(all(g.Map.Epoch)))
+			_, err := g.Ranks[0].Decide(ctx, low, next.Epoch, step, true)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+		})
+
+		// Guards against orders of a leader or decider that has been replaced.
+		ginkgo.It("refuses stale ballots and passed steps", func() {
+			r := g.Ranks[0]
+			st, err := r.Inspect(ctx, high)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(st.Ballot).To(gomega.Equal(high))
+			_, err = r.Inspect(ctx, low)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			_, err = r.Stage(ctx, low, next)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			_, err = r.Prepare(ctx, high, next.Epoch, st.Step+1000)
+			gomega.Expect(trace.IsNotFound(err)).To(gomega.BeTrue(), "%v", err)
+			moved, err := r.Stage(ctx, high, next)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(moved).To(gomega.BeNumerically(">", 0))
+			gomega.Expect(state(r).Staged).To(gomega.Equal([]uint64{next.Epoch}))
+			_, err = r.Prepare(ctx, high, next.Epoch, state(r).Step)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			_, err = r.Prepare(ctx, low, next.Epoch, st.Step+1000)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			_, err = r.Decide(ctx, low, next.Epoch, st.Step+1000, true)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			other := next.Clone()
+			other.Slots = other.Slots[1:]
+			_, err = r.Stage(ctx, high, other)
+			gomega.Expect(trace.IsBadParameter(err)).To(gomega.BeTrue(), "%v", err)
+		})
+
+		// Guards against a second promise that voids one already committed
+		// elsewhere.
+		ginkgo.It("keeps a promise until it is decided", func() {
+			r := g.Ranks[0]
+			step := state(r).Step + 2000
+			for _, e := range []uint64{next.Epoch, next.Epoch + 1} {
+				m := next.Clone()
+				m.Epoch = e
+				_, err := r.Stage(ctx, low, m)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			_, err := r.Prepare(ctx, low, next.Epoch, step)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = r.Prepare(ctx, high, next.Epoch, step)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = r.Prepare(ctx, high, next.Epoch+1, step)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			_, err = r.Prepare(ctx, high, next.Epoch, step+1)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			other := g.Map.Clone()
+			other.Epoch = next.Epoch
+			_, err = r.Stage(ctx, high, other)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+		})
+	})
+}
--- /dev/null
+++ b/core/suite/ranks/rank.go
@@ -0,0 +1,230 @@
+package ranks
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"parsleyroute.example/core"
+)
+
+// keepStaged is the number of staged maps that a rank keeps.
+const keepStaged = 3
+
+// Rank returns a rank as its agent meets it.
+func (g *Group) Rank(n int) (core.Group, error) { return g.rank(n) }
+
+func (g *Group) rank(n int) (*member, error) {
+	if n < 0 || n >= len(g.ranks) {
+		return nil, trace.NotFound("the group has no rank %d", n)
+	}
+	return g.ranks[n], nil
+}
+
+// Map returns the active map of a rank, and trace.NotFound while it joins.
+func (g *Group) Map(n int) (*core.ExpertMap, error) {
+	r, err := g.rank(n)
+	if err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.joining {
+		return nil, r.absent()
+	}
+	return r.active.Clone(), nil
+}
+
+var _ core.Group = (*member)(nil)
+
+// Inspect implements core.Group. The zero ballot only reads.
+func (r *member) Inspect(_ context.Context, b core.Ballot) (core.RankState, error) {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	if b == (core.Ballot{}) {
+		return r.view(), nil
+	}
+	if err := r.promise(b); err != nil {
+		return r.view(), err
+	}
+	return r.view(), nil
+}
+
+// Stage implements core.Group.
+func (r *member) Stage(ctx context.Context, b core.Ballot, m *core.ExpertMap) (int, error) {
+	p, err := r.g.Shape.place(m)
+	if err != nil {
+		return 0, err
+	}
+	moved, pause, err := r.plan(b, p)
+	if err != nil {
+		return 0, err
+	}
+	select {
+	case <-time.After(pause):
+	case <-ctx.Done():
+		return 0, trace.ConnectionProblem(ctx.Err(), "staging was given up")
+	}
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	// The state may have changed while the weights were loaded.
+	if err := r.stageable(b, p); err != nil {
+		return 0, err
+	}
+	if r.staged[p.Epoch] == nil {
+		r.g.stats.Moved += moved
+	}
+	r.staged[p.Epoch] = p
+	for len(r.staged) > keepStaged {
+		oldest := slices.Min(slices.Collect(maps.Keys(r.staged)))
+		if oldest == r.state.PromisedEpoch {
+			break
+		}
+		delete(r.staged, oldest)
+	}
+	return moved, nil
+}
+
+// plan returns the number of experts to load for a map and the time for it.
+func (r *member) plan(b core.Ballot, p *placed) (int, time.Duration, error) {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	if err := r.stageable(b, p); err != nil {
+		return 0, 0, err
+	}
+	moved := 0
+	for l := range p.Layers {
+		have := r.active.rank(l, r.n)
+		for _, e := range p.rank(l, r.n) {
+			if !slices.Contains(have, e) {
+				moved++
+			}
+		}
+	}
+	return moved, time.Duration(float64(moved) * r.g.Settings.StageMs * float64(time.Millisecond)), nil
+}
+
+func (r *member) stageable(b core.Ballot, p *placed) error {
+	switch s := r.state; {
+	case r.joining:
+		return r.absent()
+	case b.Less(s.Ballot):
+		return r.stale(b)
+	case p.Epoch <= s.ActiveEpoch:
+		return trace.CompareFailed("the epoch %d is not above the active one, %d", p.Epoch, s.ActiveEpoch)
+	case p.Epoch == s.PromisedEpoch && r.staged[p.Epoch].hash != p.hash:
+		return trace.CompareFailed("another map of epoch %d is promised", p.Epoch)
+	}
+	return nil
+}
+
+// Prepare implements core.Group. A map that is not staged is trace.NotFound.
+func (r *member) Prepare(_ context.Context, b core.Ballot, epoch, step uint64) (core.RankState, error) {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	s := &r.state
+	if r.joining {
+		return r.view(), r.absent()
+	}
+	if b.Less(s.Ballot) {
+		return r.view(), r.stale(b)
+	}
+	if s.PromisedEpoch == epoch && s.PromisedStep == step && epoch != 0 {
+		s.Ballot = b
+		return r.view(), nil
+	}
+	switch {
+	case s.PromisedEpoch != 0:
+		return r.view(), trace.CompareFailed("the switch to epoch %d at step %d is promised", s.PromisedEpoch, s.PromisedStep)
+	case step <= s.Step:
+		return r.view(), trace.CompareFailed("the step %d has passed; the rank is at %d", step, s.Step)
+	case r.staged[epoch] == nil:
+		return r.view(), trace.NotFound("no map of epoch %d is staged", epoch)
+	}
+	s.Ballot, s.PromisedEpoch, s.PromisedStep = b, epoch, step
+	return r.view(), nil
+}
+
+// Decide implements core.Group. Repeating a decision has no effect.
+func (r *member) Decide(_ context.Context, b core.Ballot, epoch, step uint64, commit bool) (core.RankState, error) {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	s := &r.state
+	if r.joining {
+		return r.view(), r.absent()
+	}
+	if err := r.promise(b); err != nil {
+		return r.view(), err
+	}
+	promised := s.PromisedEpoch == epoch && s.PromisedStep == step
+	switch {
+	case commit && s.ActiveEpoch == epoch:
+	case commit && !promised:
+		return r.view(), trace.CompareFailed("the switch to epoch %d at step %d is not promised", epoch, step)
+	case commit:
+		s.Committed = true
+	case s.ActiveEpoch == epoch || promised && s.Committed:
+		return r.view(), trace.CompareFailed("the switch to epoch %d is committed", epoch)
+	case promised:
+		r.clear()
+	}
+	r.g.moved.Broadcast()
+	return r.view(), nil
+}
+
+// Load implements core.Group. It returns the mean of the steps since the last
+// call.
+func (r *member) Load(context.Context) (core.ExpertLoad, error) {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	out := r.seen
+	for _, row := range out {
+		for e := range row {
+			row[e] /= float64(max(1, r.seenSteps))
+		}
+	}
+	r.seen, r.seenSteps = matrix(r.g.Shape), 0
+	return out, nil
+}
+
+// promise raises the promised ballot.
+func (r *member) promise(b core.Ballot) error {
+	if b.Less(r.state.Ballot) {
+		return r.stale(b)
+	}
+	r.state.Ballot = b
+	return nil
+}
+
+func (r *member) stale(b core.Ballot) error {
+	return trace.CompareFailed("the ballot %+v is older than %+v", b, r.state.Ballot)
+}
+
+// absent is the failure of calls to a rank that joins. The caller asks again
+// later: an outcome must not be missed, because the rank takes over a promise.
+func (r *member) absent() error {
+	return trace.NotFound("the rank %d has not joined the group yet", r.n)
+}
+
+// activate switches to the promised map.
+func (r *member) activate() {
+	r.active = r.staged[r.state.PromisedEpoch]
+	r.state.ActiveEpoch = r.active.Epoch
+	maps.DeleteFunc(r.staged, func(epoch uint64, _ *placed) bool { return epoch <= r.active.Epoch })
+	r.clear()
+	r.g.stats.Switches++
+}
+
+func (r *member) clear() {
+	s := &r.state
+	s.PromisedEpoch, s.PromisedStep, s.Holding, s.Committed = 0, 0, false, false
+}
+
+func (r *member) view() core.RankState {
+	s := r.state
+	s.Staged = slices.Sorted(maps.Keys(r.staged))
+	return s
+}
--- /dev/null
+++ b/fakes/group.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"parsleyroute.example/fakes/process/grpsrv"
+)
+
+func group() *cobra.Command {
+	s := &grpsrv.Server{Config: grpsrv.Defaults}
+	cmd := &cobra.Command{
+		Use:   "group",
+		Short: "Serve the ranks of one group in lock-step",
+		Args:  cobra.NoArgs,
+	}
+	listenFlag(cmd, &s.Listen)
+	setFlag(cmd, &s.Config)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		return run(cmd, logger(cmd, "group"), s)
+	}
+	return cmd
+}
--- a/fakes/main.go
+++ b/fakes/main.go
@@ -28,7 +28,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(platform(), engine(), service(), faults())
+	root.AddCommand(platform(), engine(), service(), faults(), group())
 	if err := root.ExecuteContext(ctx); err != nil {
 		_ = level.Error(logs.New(os.Stderr, "fakes", "", "")).Log("msg", "the program failed", "err", err.Error())
 		stop()
