Reuse the connections between entries and agents

Cause: a profile of an entry at 1,000 requests a second had 21% of its time in net.Dial: each answer's body was read up to the tail frame but not to the end of the HTTP body, so the client closed the connection. Ruled out: the pool's size and idle time (4,096 and 10 s; the load had fewer than 20 requests in flight), and a close by the agent (its idle time is 60 s). Change: a closed stream whose tail was valid reads the end of the body first.

--- a/bench/load/run.go
+++ b/bench/load/run.go
@@ -70,11 +70,12 @@
 	rng := rand.New(rand.NewPCG(s.Seed, n))
 	next := begin.Add(-s.Warmup.Duration)
 	end := begin.Add(s.Length.Duration)
+	targets := s.targets(st)
 	for count := 0; next.Before(end); count++ {
 		if sleepUntil(ctx, next) != nil {
 			return
 		}
-		target := s.Targets[rng.IntN(len(s.Targets))]
+		target := targets[rng.IntN(len(targets))]
 		body := st.Body
 		if body == "" {
 			body = generate(rng, st)
--- a/bench/load/scenario.go
+++ b/bench/load/scenario.go
@@ -39,6 +39,8 @@
 	Fixed bool `toml:"fixed"`
 	// Body replaces the generated body.
 	Body string `toml:"body"`
+	// Targets replace the scenario's targets for this stream.
+	Targets []netip.AddrPort `toml:"targets"`
 	// Keyed adds an idempotency key of its own to each request.
 	Keyed bool `toml:"keyed"`
 }
@@ -56,20 +58,29 @@
 
 // Check reports the first setting that is missing or out of range.
 func (s *Scenario) Check() error {
-	if len(s.Targets) == 0 || len(s.Streams) == 0 || s.Length.Duration <= 0 {
-		return trace.BadParameter("scenario %q needs targets, a stream and a length", s.Name)
+	if len(s.Streams) == 0 || s.Length.Duration <= 0 {
+		return trace.BadParameter("scenario %q needs a stream and a length", s.Name)
 	}
-	for _, t := range s.Targets {
-		if !t.Addr().IsLoopback() {
-			return trace.BadParameter("target %s is not a loopback address", t)
+	for i := range s.Streams {
+		st := &s.Streams[i]
+		targets := s.targets(st)
+		if st.Rate <= 0 || st.Path == "" || len(targets) == 0 {
+			return trace.BadParameter("stream %q needs a rate, a path and targets", st.Name)
 		}
-	}
-	for _, st := range s.Streams {
-		if st.Rate <= 0 || st.Path == "" {
-			return trace.BadParameter("stream %q needs a rate and a path", st.Name)
+		for _, t := range targets {
+			if !t.Addr().IsLoopback() {
+				return trace.BadParameter("target %s is not a loopback address", t)
+			}
 		}
 	}
 	return nil
 }
 
+func (s *Scenario) targets(st *Stream) []netip.AddrPort {
+	if len(st.Targets) > 0 {
+		return st.Targets
+	}
+	return s.Targets
+}
+
 func (s *Scenario) window() time.Duration { return s.Window.Or(time.Second) }
--- a/core/conn/links/stream.go
+++ b/core/conn/links/stream.go
@@ -45,6 +45,7 @@
 // be called while Next waits, and ends it.
 func (s *Stream) Close() error {
 	s.once.Do(func() {
+		s.reads.Finish()
 		_ = s.resp.CloseBodyStream()
 		fasthttp.ReleaseResponse(s.resp)
 	})
--- a/core/conn/server/server.go
+++ b/core/conn/server/server.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 
 	"github.com/gofiber/fiber/v3"
@@ -55,7 +56,10 @@
 	r.Post(prefix+"*", adaptor.HTTPHandler(h))
 }
 
-// Debug adds the counters at /debug/vars.
+// Debug adds the counters at /debug/vars and the runtime's profiles at
+// /debug/pprof. It belongs on addresses that only peers and operators reach.
 func Debug(r fiber.Router) {
 	r.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
+	r.Get("/debug/pprof/profile", adaptor.HTTPHandlerFunc(pprof.Profile))
+	r.Get("/debug/pprof/*", adaptor.HTTPHandlerFunc(pprof.Index))
 }
--- a/core/request/frame/frame_test.go
+++ b/core/request/frame/frame_test.go
@@ -114,3 +114,24 @@
 		_, _ = readAll(p, "r", 1)
 	})
 }
+
+// Guards against answers after which the connection cannot be used again,
+// because the source was not read to its end.
+func TestFinishReadsToTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stream := encode(t, "r", 1, [][]byte{{1}})
+		src := bytes.NewReader(stream)
+		r := frame.NewReader(src, "r", 1)
+		if r.Finish() {
+			t.Fatal("finished before the tail")
+		}
+		for {
+			if _, err := r.Next(); err != nil {
+				break
+			}
+		}
+		if !r.Finish() || src.Len() != 0 {
+			t.Fatal("not at the end after a whole answer")
+		}
+	})
+}
--- a/core/request/frame/reader.go
+++ b/core/request/frame/reader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
@@ -30,7 +31,8 @@
 	foreign   int
 	length    uint64
 	sum       *xxhash.Digest
-	done      bool
+	// done is read by Finish while Next may still run.
+	done atomic.Bool
 }
 
 // NewReader returns a Reader for the attempt.
@@ -45,7 +47,7 @@
 // io.EOF. A stream that ends earlier is a trace.ConnectionProblem; a gap or a
 // tail that does not match is a *core.Refusal with ReasonCorruptAnswer.
 func (r *Reader) Next() (*wire.Frame, error) {
-	if r.done {
+	if r.done.Load() {
 		return nil, io.EOF
 	}
 	for {
@@ -64,6 +66,16 @@
 	}
 }
 
+// Finish reads to the end of the source after a valid tail and reports whether
+// nothing followed. Without it the HTTP client cannot reuse the connection.
+func (r *Reader) Finish() bool {
+	if !r.done.Load() {
+		return false
+	}
+	_, err := r.r.ReadByte()
+	return errors.Is(err, io.EOF)
+}
+
 func (r *Reader) check(f *wire.Frame) (*wire.Frame, error) {
 	if f.GetSequence() != r.seq {
 		return nil, corrupt("gap in the frame sequence")
@@ -77,7 +89,7 @@
 		if k.Tail.GetLength() != r.length || k.Tail.GetXxhash() != r.sum.Sum64() {
 			return nil, corrupt("length or check sum of the answer does not match")
 		}
-		r.done = true
+		r.done.Store(true)
 	}
 	return f, nil
 }
--- a/entry/serve/entry.go
+++ b/entry/serve/entry.go
@@ -177,7 +177,6 @@
 	app := fiber.New(front.Settings())
 	e.front.Register(app)
 	e.admin().Register(app)
-	server.Debug(app)
 	return app
 }
 
