--- a/core/request/picker/twochoices.go
+++ b/core/request/picker/twochoices.go
@@ -10,7 +10,8 @@
 // TwoChoices takes the less loaded of two random candidates (Mitzenmacher, The
 // Power of Two Choices in Randomized Load Balancing, 2001). A candidate's load
 // is the entry's own requests in flight plus the reported ones of other
-// entries, aged by the report's lag, divided by the limit.
+// entries, aged by the report's lag towards the mean of all reports, divided by
+// the limit.
 //
 // Candidates in the own zone come first. A share of the requests goes to other
 // zones; it grows linearly with the own zone's load from SpillFrom to SpillTo.
@@ -35,24 +36,51 @@
 
 // Pick implements core.Picker.
 func (p *TwoChoices) Pick(now time.Time, candidates []core.Candidate) int {
+	v := p.view(now, candidates)
 	if p.Zone == "" {
-		return p.choose(now, candidates, func(*core.Candidate) bool { return true })
+		return v.choose(func(*core.Candidate) bool { return true })
 	}
 	local := func(c *core.Candidate) bool { return c.Zone == p.Zone }
 	remote := func(c *core.Candidate) bool { return c.Zone != p.Zone }
 	first, second := local, remote
-	if s := p.spill(now, candidates); s > 0 && p.random() < s {
+	if s := v.spill(); s > 0 && p.random() < s {
 		first, second = remote, local
 	}
-	if i := p.choose(now, candidates, first); i >= 0 {
+	if i := v.choose(first); i >= 0 {
 		return i
 	}
-	return p.choose(now, candidates, second)
+	return v.choose(second)
+}
+
+func (p *TwoChoices) random() float64 { return float64(intN(p.IntN, 1<<20)) / (1 << 20) }
+
+// view is what one call of Pick sees.
+type view struct {
+	*TwoChoices
+	now        time.Time
+	candidates []core.Candidate
+	// mean is the mean load by other entries, each report weighted by its age.
+	mean float64
+}
+
+func (p *TwoChoices) view(now time.Time, candidates []core.Candidate) view {
+	v := view{TwoChoices: p, now: now, candidates: candidates}
+	var sum, weights float64
+	for i := range candidates {
+		c := &candidates[i]
+		w := v.weight(c)
+		sum += w * others(c) / limit(c)
+		weights += w
+	}
+	if weights > 0 {
+		v.mean = sum / weights
+	}
+	return v
 }
 
 // spill returns the share of requests that go to other zones.
-func (p *TwoChoices) spill(now time.Time, candidates []core.Candidate) float64 {
-	from, to := p.SpillFrom, p.SpillTo
+func (v *view) spill() float64 {
+	from, to := v.SpillFrom, v.SpillTo
 	if from == 0 {
 		from = 0.7
 	}
@@ -60,9 +88,9 @@
 		to = 1.1
 	}
 	var load, room float64
-	for i := range candidates {
-		if c := &candidates[i]; c.Zone == p.Zone {
-			load += p.inflight(now, c)
+	for i := range v.candidates {
+		if c := &v.candidates[i]; c.Zone == v.Zone {
+			load += v.inflight(c)
 			room += limit(c)
 		}
 	}
@@ -74,31 +102,31 @@
 
 // choose returns the best of two random members with credit and the member
 // with the highest affinity, or -1.
-func (p *TwoChoices) choose(now time.Time, candidates []core.Candidate, member func(*core.Candidate) bool) int {
+func (v *view) choose(member func(*core.Candidate) bool) int {
 	n, affine := 0, -1
-	for i := range candidates {
-		c := &candidates[i]
-		if !member(c) || !open(now, c) {
+	for i := range v.candidates {
+		c := &v.candidates[i]
+		if !member(c) || !open(v.now, c) {
 			continue
 		}
 		n++
-		if c.Affinity > 0 && (affine < 0 || c.Affinity > candidates[affine].Affinity) {
+		if c.Affinity > 0 && (affine < 0 || c.Affinity > v.candidates[affine].Affinity) {
 			affine = i
 		}
 	}
 	if n == 0 {
 		return -1
 	}
-	a, b := intN(p.IntN, n), 0
+	a, b := intN(v.IntN, n), 0
 	if n > 1 {
-		b = intN(p.IntN, n-1)
+		b = intN(v.IntN, n-1)
 		if b >= a {
 			b++
 		}
 	}
 	first, second, k := -1, -1, 0
-	for i := range candidates {
-		if !member(&candidates[i]) || !open(now, &candidates[i]) {
+	for i := range v.candidates {
+		if c := &v.candidates[i]; !member(c) || !open(v.now, c) {
 			continue
 		}
 		if k == a {
@@ -111,12 +139,12 @@
 	}
 	// Equal scores go to the first choice, which is random; the lower index
 	// would otherwise win each tie.
-	best, lowest := first, p.score(now, &candidates[first])
+	best, lowest := first, v.score(first)
 	for _, i := range [...]int{second, affine} {
 		if i < 0 {
 			continue
 		}
-		if s := p.score(now, &candidates[i]); s < lowest {
+		if s := v.score(i); s < lowest {
 			best, lowest = i, s
 		}
 	}
@@ -129,35 +157,38 @@
 // to 2 s (docs/balance.md).
 const ownWeight = 3
 
-func (p *TwoChoices) score(now time.Time, c *core.Candidate) float64 {
-	bonus := p.Bonus
+func (v *view) score(i int) float64 {
+	c := &v.candidates[i]
+	bonus := v.Bonus
 	if bonus == 0 {
 		bonus = 0.5
 	}
-	load := (p.inflight(now, c) + (ownWeight-1)*float64(c.Own)) / limit(c)
+	load := (v.inflight(c) + (ownWeight-1)*float64(c.Own)) / limit(c)
 	return load - bonus*c.Affinity*max(0, 1-load)
 }
 
 // inflight estimates the requests in flight at the candidate: the entry's own,
-// and those of other entries as reported.
-func (p *TwoChoices) inflight(now time.Time, c *core.Candidate) float64 {
-	others := max(0, c.Load.Inflight-c.Load.Own)
-	return float64(c.Own) + float64(others)*p.weight(now, c)
+// and those of other entries. As a report gets old, the mean of all reports
+// takes its place, because requests that have ended there have been followed
+// by others.
+func (v *view) inflight(c *core.Candidate) float64 {
+	w := v.weight(c)
+	return float64(c.Own) + w*others(c) + (1-w)*v.mean*limit(c)
 }
 
+func others(c *core.Candidate) float64 { return float64(max(0, c.Load.Inflight-c.Load.Own)) }
+
 // weight returns the weight of the candidate's report.
-func (p *TwoChoices) weight(now time.Time, c *core.Candidate) float64 {
+func (v *view) weight(c *core.Candidate) float64 {
 	if c.Load.At.IsZero() {
 		return 0
 	}
-	if p.Decay < 0 {
+	if v.Decay < 0 {
 		return 1
 	}
-	decay := p.Decay
+	decay := v.Decay
 	if decay == 0 {
 		decay = time.Second
 	}
-	return math.Exp(-max(0, now.Sub(c.Load.At).Seconds()) / decay.Seconds())
+	return math.Exp(-max(0, v.now.Sub(c.Load.At).Seconds()) / decay.Seconds())
 }
-
-func (p *TwoChoices) random() float64 { return float64(intN(p.IntN, 1<<20)) / (1 << 20) }
