Spill over only to upstreams that are clearly less loaded

The share that spilled over went to other zones even where these were loaded as much. Now it is the share for which other zones are compared.

--- a/core/request/picker/twochoices.go
+++ b/core/request/picker/twochoices.go
@@ -13,8 +13,10 @@
 // entries, aged by the report's lag towards the mean of all reports, divided by
 // the limit.
 //
-// Candidates in the own zone come first. A share of the requests goes to other
-// zones; it grows linearly with the own zone's load from SpillFrom to SpillTo.
+// Candidates in the own zone come first. For a share of the requests the best
+// choice of the other zones is compared too, and taken if it is clearly less
+// loaded. The share grows linearly with the own zone's load from SpillFrom to
+// SpillTo.
 // The candidate with the highest affinity is compared as a third choice, with
 // a bonus that shrinks to zero as its load reaches the limit.
 type TwoChoices struct {
@@ -26,14 +28,18 @@
 	// Bonus is the load that a full affinity makes up for at an idle
 	// candidate; default 0.5.
 	Bonus float64
-	// SpillFrom and SpillTo are the loads of the own zone at which spill-over
-	// begins and takes all requests; defaults 0.7 and 1.1.
+	// SpillFrom and SpillTo are the loads of the own zone at which other zones
+	// begin to be compared and are always compared; defaults 0.7 and 1.1.
 	SpillFrom float64
 	SpillTo   float64
 	// IntN returns a random number in [0, n); default math/rand/v2.
 	IntN func(n int) int
 }
 
+// farther is the load by which a candidate of another zone must be better. It
+// keeps requests in their zone where both are loaded alike.
+const farther = 0.1
+
 // Pick implements core.Picker.
 func (p *TwoChoices) Pick(now time.Time, candidates []core.Candidate) int {
 	v := p.view(now, candidates)
@@ -42,14 +48,15 @@
 	}
 	local := func(c *core.Candidate) bool { return c.Zone == p.Zone }
 	remote := func(c *core.Candidate) bool { return c.Zone != p.Zone }
-	first, second := local, remote
-	if s := v.spill(); s > 0 && p.random() < s {
-		first, second = remote, local
+	near := v.choose(local)
+	if near >= 0 && p.random() >= v.spill() {
+		return near
 	}
-	if i := v.choose(first); i >= 0 {
-		return i
+	far := v.choose(remote)
+	if near >= 0 && (far < 0 || v.score(far)+farther >= v.score(near)) {
+		return near
 	}
-	return v.choose(second)
+	return far
 }
 
 func (p *TwoChoices) random() float64 { return float64(intN(p.IntN, 1<<20)) / (1 << 20) }
@@ -78,7 +85,7 @@
 	return v
 }
 
-// spill returns the share of requests that go to other zones.
+// spill returns the share of requests that may go to other zones.
 func (v *view) spill() float64 {
 	from, to := v.SpillFrom, v.SpillTo
 	if from == 0 {
