--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -8,7 +8,9 @@
 #
 # DIR gets the settings, the logs, the process ids, and the file env with the
 # addresses. ENTRIES (default 2) is the number of entries in each zone, PICKER
-# the entries' picker, ENGINE_FLAGS and PLAIN_FLAGS are added to the stand-ins.
+# the entries' picker, STEP replaces the declared step of the upstreams, and
+# ENGINE_FLAGS, PLAIN_FLAGS and PLATFORM_FLAGS are added to the stand-ins. The
+# team "bench" with the credential "bench" has no rate limit.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$PWD/.out/bin
@@ -96,7 +98,11 @@
   done
   printf '%s\n' "entries = [$(printf '"%s",' "${entries[@]}" | sed 's/,$//')]" "key = \"$operator_key\"" >"$dir/parsley.toml"
   for e in "${entries[@]}"; do wait_for "http://$e/healthz"; done
-  "$bin/parsley" --config "$dir/parsley.toml" apply "examples/$deployment" --wait >"$dir/apply.log"
+  mkdir -p "$dir/declarations"
+  cp "examples/$deployment"/*.toml "$dir/declarations"
+  if [ -n "${STEP:-}" ]; then sed -i "s/^step = .*/step = $STEP/" "$dir/declarations/upstreams.toml"; fi
+  printf '[[team]]\nname = "bench"\npriority = 5\nkeys = ["%s"]\n' "$(printf bench | sha256sum | cut -d' ' -f1)" >"$dir/declarations/bench.toml"
+  "$bin/parsley" --config "$dir/parsley.toml" apply "$dir/declarations" --wait >"$dir/apply.log" 2>&1
   for e in "${entries[@]}"; do wait_for "http://$e/readyz"; done
   printf 'ENTRIES="%s"\nPLATFORM=%s\nOPERATOR_KEY=%s\n' "${entries[*]}" "$platform" "$operator_key" >"$dir/env"
 }
@@ -109,7 +115,7 @@
   ;;
 down) down "$2" ;;
 *)
-  sed -n '2,12s/^# \{0,1\}//p' "$0"
+  sed -n '2,14s/^# \{0,1\}//p' "$0"
   exit 2
   ;;
 esac
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -52,11 +52,9 @@
 path = "/v1/services/order-desk/lookups"
 rate = 300
 size = 400
-headers = {Authorization = "Bearer overhead"}
+headers = {Authorization = "Bearer bench"}
 targets = [$(targets $ENTRIES)]
 TOML
-  printf '[[team]]\nname = "overhead"\nkeys = ["%s"]\n' "$(printf overhead | sha256sum | cut -d' ' -f1)" >"$dir/team.toml"
-  .out/bin/parsley --config "$dir/parsley.toml" apply "$dir/team.toml" --wait >/dev/null 2>&1
   local idle before after
   idle="$(usage entry) $(usage agent)"
   sleep 10
@@ -71,7 +69,81 @@
   scripts/cluster.sh down "$dir"
 }
 
+# zone SEED DEPLOYMENT SERVICE PATH ZONE RATE: a zone leaves at 15 s and returns
+# at 35 s of the measured time.
+zone() {
+  STEP=2 ENGINE_FLAGS='--set {"base_ms":20,"tokens":32,"step":1}' scripts/cluster.sh up "$2" "$dir"
+  . "$dir/env"
+  local first=${ENTRIES%% *}
+  cat >"$dir/scenario.toml" <<TOML
+name = "$2, $6 requests/s of 32 tokens: zone $5 out at 15 s, in at 35 s (seed $1)"
+seed = $1
+warmup = "30s"
+length = "50s"
+targets = [$(targets $ENTRIES)]
+[[stream]]
+name = "$3"
+path = "/v1/services/$3$4"
+rate = $6
+body = '{"tokens":32,"stream":true}'
+headers = {Authorization = "Bearer bench", Accept = "text/event-stream"}
+[[event]]
+name = "out"
+at = "15s"
+url = "http://$first/v1/admin/out/zone/$5"
+headers = {Authorization = "Bearer $OPERATOR_KEY"}
+[[event]]
+name = "in"
+at = "35s"
+method = "DELETE"
+url = "http://$first/v1/admin/out/zone/$5"
+headers = {Authorization = "Bearer $OPERATOR_KEY"}
+TOML
+  watch_zone "$5" >"$dir/last" &
+  .out/bin/bench load "$dir/scenario.toml" --split 15,35 --json "$out/zone.jsonl" --plot "$out/zone-$2.png"
+  wait
+  cat "$dir/last"
+  violations
+  scripts/cluster.sh down "$dir"
+}
+
+# watch_zone ZONE prints how long after the order the last request began at an
+# engine of the zone. It polls while the order is in force.
+watch_zone() {
+  sleep 44.5
+  local last=-1 at=0 ordered now n
+  ordered=$(date +%s.%N)
+  while awk -v a="$ordered" -v b="$(date +%s.%N)" 'BEGIN {exit !(b - a < 18)}'; do
+    n=$(started "$1")
+    now=$(date +%s.%N)
+    if [ "$n" != "$last" ]; then last=$n at=$now; fi
+    sleep 0.2
+  done
+  awk -v a="$ordered" -v b="$at" 'BEGIN {printf "\nlast new request in the zone: %.1f s after the order, at most (0.5 s early start, 0.2 s polls)\n", b-a}'
+}
+
+# started ZONE prints the number of requests that engines of the zone began.
+started() {
+  awk -F'"' -v z="$1" '/^\[\[upstream\]\]/ {s=zo=""} /^service/ {s=$2} /^zone/ {zo=$2}
+    /^agent/ && zo == z && s !~ /-desk$/ {split($2, a, ":"); print a[2]+1000}' "$dir/declarations/upstreams.toml" |
+    while read -r port; do curl -s "http://127.0.0.1:$port/control/stats" | grep -o '"started":[0-9]*' | cut -d: -f2; done |
+    awk '{n += $1} END {print n+0}'
+}
+
+# violations prints how often an upstream got more than it bore.
+violations() {
+  for port in $(seq 8101 8115) $(seq 8201 8215); do
+    curl -s "http://127.0.0.1:$port/control/stats" | grep -o '"violations":[0-9]*' | cut -d: -f2
+  done | awk '{n += $1} END {print n+0}' | sed 's/^/requests above what an upstream bore: /'
+}
+
 case "${1:-}" in
+zone)
+  for run in $(seq "${2:-5}"); do
+    zone "$run" ndiaye lettering-model /letterings dakar-medina "${RATE:-150}"
+    zone "$run" chinook note-writer /notes prairie-b "${RATE:-150}"
+  done
+  ;;
 overhead) for run in $(seq "${2:-5}"); do overhead "$run"; done ;;
 *)
   sed -n '2,5s/^# \{0,1\}//p' "$0"
