--- a/core/request/picker/twochoices.go
+++ b/core/request/picker/twochoices.go
@@ -17,13 +17,14 @@
 // choice of the other zones is compared too, and taken if it is clearly less
 // loaded. The share grows linearly with the own zone's load from SpillFrom to
 // SpillTo.
+//
 // The candidate with the highest affinity is compared as a third choice, with
 // a bonus that shrinks to zero as its load reaches the limit.
 type TwoChoices struct {
 	// Zone is the entry's own zone; empty treats all zones alike.
 	Zone string
 	// Decay is the time in which a report loses all but 1/e of its weight;
-	// default 1 s. A negative value turns ageing off.
+	// default 250 ms. A negative value turns ageing off.
 	Decay time.Duration
 	// Bonus is the load that a full affinity makes up for at an idle
 	// candidate; default 0.5.
@@ -195,7 +196,7 @@
 	}
 	decay := v.Decay
 	if decay == 0 {
-		decay = time.Second
+		decay = 250 * time.Millisecond
 	}
 	return math.Exp(-max(0, v.now.Sub(c.Load.At).Seconds()) / decay.Seconds())
 }
