--- a/fakes/main.go
+++ b/fakes/main.go
@@ -22,6 +22,15 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if err := program().ExecuteContext(ctx); err != nil {
+		_ = level.Error(logs.New(os.Stderr, "fakes", "", "")).Log("msg", "the program failed", "err", err.Error())
+		stop()
+		os.Exit(1)
+	}
+}
+
+// program returns the root command.
+func program() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "fakes",
 		Short:         "Stand-ins for the platform and the upstreams",
@@ -29,11 +38,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(platform(), engine(), service(), faults(), group())
-	if err := root.ExecuteContext(ctx); err != nil {
-		_ = level.Error(logs.New(os.Stderr, "fakes", "", "")).Log("msg", "the program failed", "err", err.Error())
-		stop()
-		os.Exit(1)
-	}
+	return root
 }
 
 // server is a stand-in that has been set up.
--- /dev/null
+++ b/fakes/main_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFakes(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fakes")
+}
+
+var _ = Describe("Program", func() {
+	// Guards against a subcommand that does not start, logs no address, or
+	// does not end cleanly.
+	DescribeTable("serves until it is told to end", func(args ...string) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		r, w := io.Pipe()
+		cmd := program()
+		cmd.SetOut(w)
+		cmd.SetArgs(args)
+		ended := make(chan error, 1)
+		go func() { ended <- cmd.ExecuteContext(ctx) }()
+		lines := bufio.NewScanner(r)
+		var line struct{ Msg, Address, Program string }
+		for line.Msg != "listening" {
+			Expect(lines.Scan()).To(BeTrue())
+			Expect(json.Unmarshal(lines.Bytes(), &line)).To(Succeed())
+		}
+		Expect(line.Address).To(HavePrefix("127.0.0.1:"))
+		Expect(line.Program).To(Equal("fakes"))
+		go func() { _, _ = io.Copy(io.Discard, r) }()
+		cancel()
+		Eventually(ended, "3s").Should(Receive(BeNil()))
+	},
+		Entry(nil, "platform", "--set", `{"list_lag_ms":5}`),
+		Entry(nil, "engine", "--listen", "127.0.0.1:0"),
+		Entry(nil, "plain"),
+		Entry(nil, "proxy", "--pairs", `[{"name":"a","listen":"127.0.0.1:0","target":"127.0.0.1:9"}]`),
+		Entry(nil, "group", "--set", `{"ranks":8,"base_ms":1}`),
+	)
+
+	// Guards against settings with typing errors, settings out of range and
+	// addresses beyond this machine.
+	DescribeTable("refuses bad flags", func(args ...string) {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		cmd := program()
+		cmd.SetOut(io.Discard)
+		cmd.SetArgs(args)
+		Expect(cmd.ExecuteContext(ctx)).NotTo(Succeed())
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+	},
+		Entry(nil, "platform", "--set", `{"outtage":true}`),
+		Entry(nil, "platform", "--set", `{"delay_ms":-1}`),
+		Entry(nil, "engine", "--set", `{"cold":0}`),
+		Entry(nil, "engine", "--set", `{"cold":1}{}`),
+		Entry(nil, "engine", "--listen", "0.0.0.0:0"),
+		Entry(nil, "plain", "--set", `{"delay_ms":"1s"}`),
+		Entry(nil, "proxy", "--pairs", `[{"name":"a","listen":"127.0.0.1:0","target":"192.0.2.1:9"}]`),
+		Entry(nil, "group", "--set", `{"experts":100}`),
+	)
+})
+
+// Guards against decoders of JSON from outside that panic or take two
+// documents for one.
+func FuzzSettings(f *testing.F) {
+	f.Add(`{"cold":1}`)
+	f.Add(`{"cold":1}{"cold":2}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		var v map[string]any
+		if (&settings{&v}).Set(text) == nil && !json.Valid([]byte(text)) {
+			t.Fatalf("%q is not a JSON document", text)
+		}
+	})
+}
--- a/fakes/process/engsrv/settings.go
+++ b/fakes/process/engsrv/settings.go
@@ -38,8 +38,7 @@
 	Frozen bool `json:"frozen"`
 }
 
-// Defaults are the settings of an engine that answers 64 tokens in roughly half
-// a second.
+// Defaults are the settings of an engine that makes a token in about 6 ms.
 var Defaults = Settings{
 	Config:       load.Config{Cold: 2, Max: 16, Step: 8, Over: 2, GraceMs: 1000},
 	BaseMs:       6,
--- a/fakes/process/grpsrv/server.go
+++ b/fakes/process/grpsrv/server.go
@@ -14,7 +14,8 @@
 	"parsleyroute.example/fakes/process/serve"
 )
 
-// Defaults is a group of four ranks whose steps take about 10 ms.
+// Defaults is a group of four ranks whose steps take 5 ms and the time
+// for the load.
 var Defaults = Config{
 	Shape:    ranks.Shape{Layers: 2, Ranks: 4, SlotsPerRank: 3, Experts: 8},
 	Settings: ranks.Settings{BaseMs: 5, TokenUs: 5, StageMs: 2},
--- a/fakes/process/plain/server.go
+++ b/fakes/process/plain/server.go
@@ -37,7 +37,7 @@
 	FailAnswers int `json:"fail_answers"`
 }
 
-// Defaults are the settings of a service that answers in 20 ms.
+// Defaults are the settings of a service whose runs take 20 ms.
 var Defaults = Settings{
 	Config:  load.Config{Cold: 4, Max: 32, Step: 8, Over: 2, GraceMs: 1000},
 	DelayMs: 20,
