Let requests that full agents refuse wait until their deadline

Cause: an agent's credit is at least 1 for each entry while it takes work, so several entries may send to an agent that has one free place. An entry dispatched a request that was refused so (upstream_busy) again every 5 ms, and after 16 refusals, some 85 ms, it refused the caller with 503 although the queue was empty and the deadline 20 s away. A zone that was out made this happen whenever the remaining zones were nearly full.

Ruled out: a full queue (the queues were empty), the limit of the agents (all upstreams were warm and the refusals came after the warm-up, too), the zone's agents (no refusal was for upstream_out).

Change: an entry leaves a full agent alone for a pause of 5 to 100 ms that doubles with each refusal in a row and ends when one of its own requests there ends. Such a refusal of a repeatable request no longer counts towards the bound; the request waits in the queue, which its deadline bounds.

Conclusion: requests that may be repeated are no longer refused while there is capacity. Requests that may not be repeated keep the bound of 16 refusals, because each one costs a write to the store.

--- a/core/conn/links/link.go
+++ b/core/conn/links/link.go
@@ -28,6 +28,10 @@
 	// alone.
 	firstPause = 250 * time.Millisecond
 	maxPause   = 4 * time.Second
+	// firstBusy and maxBusy bound the time for which a full agent is left alone.
+	// The greater one is the time that agents state in such a refusal.
+	firstBusy = 5 * time.Millisecond
+	maxBusy   = 100 * time.Millisecond
 	// maxConns bounds the connections to one agent.
 	maxConns = 4096
 )
@@ -50,9 +54,11 @@
 	inflight atomic.Int64
 	load     atomic.Pointer[core.Load]
 
-	mu       sync.Mutex
-	pause    time.Duration
-	lostTill time.Time
+	mu        sync.Mutex
+	pause     time.Duration
+	lostTill  time.Time
+	busyPause time.Duration
+	busyTill  time.Time
 }
 
 // Open prepares the link. No connection is made before the first dispatch.
@@ -110,11 +116,36 @@
 	l.load.Store(&load)
 }
 
-// Lost reports whether the agent is left alone for now.
-func (l *Link) Lost() bool {
+// Usable reports whether requests may be sent to the agent now: it is neither
+// lost nor known to be full.
+func (l *Link) Usable() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.Clock.Now().Before(l.lostTill)
+	now := l.Clock.Now()
+	return !now.Before(l.lostTill) && !now.Before(l.busyTill)
+}
+
+// Full tells that the agent refused a request at its limit. The agent is left
+// alone for a pause that doubles with each refusal in a row. Refusals of
+// requests that were sent before the pause began count once.
+func (l *Link) Full() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	if now.Before(l.busyTill) {
+		return
+	}
+	l.busyPause = min(max(2*l.busyPause, firstBusy), maxBusy)
+	l.busyTill = now.Add(l.busyPause)
+}
+
+// Freed tells that one of the entry's own requests at the agent has ended, so
+// that there is room for another.
+func (l *Link) Freed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busyPause = 0
+	l.busyTill = time.Time{}
 }
 
 // Failed tells that the agent could not be reached or fell silent.
--- a/entry/flow/dispatch.go
+++ b/entry/flow/dispatch.go
@@ -201,6 +201,7 @@
 func (b *body) Close() error {
 	b.stop()
 	err := b.stream.Close()
+	b.place.link.Freed()
 	b.place.release()
 	return err
 }
--- a/entry/flow/router.go
+++ b/entry/flow/router.go
@@ -22,8 +22,12 @@
 	// maxAttempts bounds the dispatches of a request that upstreams failed.
 	maxAttempts = 3
 	// maxRefused bounds the dispatches of a request that agents refused. Such a
-	// refusal costs no upstream work, so it takes no retry budget.
+	// refusal costs no upstream work, so it takes no retry budget. Refusals of
+	// repeatable requests by full agents do not count: such a request waits in
+	// the queue until its deadline.
 	maxRefused = 16
+	// maxRecorded bounds the attempts that the journal keeps of a request.
+	maxRecorded = 32
 	// grantPeriod is the time between checks for credit that grows with time
 	// alone.
 	grantPeriod = 20 * time.Millisecond
@@ -172,7 +176,7 @@
 	chosen := make([]*core.UpstreamState, 0, len(ups))
 	for _, u := range ups {
 		l := r.Links.Get(u.Agent)
-		if t.avoid[u.Name] || l.Lost() || t.req.Team.Routed != nil && !t.req.Team.Routed[u.Name] {
+		if t.avoid[u.Name] || !l.Usable() || t.req.Team.Routed != nil && !t.req.Team.Routed[u.Name] {
 			continue
 		}
 		candidates = append(candidates, core.Candidate{
@@ -203,7 +207,8 @@
 	free := p.release
 	p.release = func() { free(); q.Grant() }
 	r.journal.update(t.record, func(rec *Record) {
-		rec.Attempts = append(rec.Attempts, Attempt{
+		// Of too many attempts the last one replaces the one before.
+		rec.Attempts = append(rec.Attempts[:min(len(rec.Attempts), maxRecorded-1)], Attempt{
 			Number: t.attempt + 1, Upstream: p.upstream.Name, Zone: p.upstream.Zone,
 			Candidates: p.candidates, Waited: r.Clock.Now().Sub(start).String(),
 		})
--- a/entry/flow/trip.go
+++ b/entry/flow/trip.go
@@ -19,7 +19,10 @@
 	item    *admit.Item
 	record  *Record
 	attempt int
+	// refused and busy count the attempts that agents refused, busy those that
+	// full agents refused of a repeatable request.
 	refused int
+	busy    int
 	// avoid holds the upstreams that failed the request.
 	avoid map[string]bool
 }
@@ -119,6 +122,11 @@
 // the error for the caller.
 func (r *Router) mayRetry(ctx context.Context, t *trip, p *place, err error, budget budgeter) error {
 	refusal := r.noteFailure(t, p, err)
+	if refusal.Reason == core.ReasonUpstreamBusy && refusal.Run == core.RunNo {
+		t.busy++
+		meter.Retry(refusal.Reason)
+		return nil
+	}
 	if refusal.Run == core.RunNo {
 		if t.refused++; t.refused >= maxRefused {
 			return refusal
@@ -130,7 +138,7 @@
 		return nil
 	}
 	t.avoid[p.upstream.Name] = true
-	if refusal.Reason == core.ReasonDeadline || t.attempt-t.refused >= maxAttempts {
+	if refusal.Reason == core.ReasonDeadline || t.attempt-t.refused-t.busy >= maxAttempts {
 		return refusal
 	}
 	if !budget.Take() {
@@ -147,6 +155,9 @@
 	if _, ok := core.AsRefusal(err); !ok {
 		p.link.Failed()
 	}
+	if refusal.Reason == core.ReasonUpstreamBusy {
+		p.link.Full()
+	}
 	r.journal.update(t.record, func(rec *Record) {
 		last := &rec.Attempts[len(rec.Attempts)-1]
 		last.Outcome = refusal.Reason
