--- a/fakes/system/harness_test.go
+++ b/fakes/system/harness_test.go
@@ -14,7 +14,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +34,7 @@
 const (
 	peerKey     = "peer-key-of-the-tests"
 	operatorKey = "operator-key-of-the-tests"
+	rivalKey    = "key-of-the-second-operator"
 )
 
 // ports hands out loopback ports below the ephemeral range, so that outgoing
@@ -113,6 +117,8 @@
 	engineArgs       []string
 	plainArgs        []string
 	extraDeclaration string
+	// seeds gives each instance the peer addresses of all entries.
+	seeds bool
 }
 
 // node is an entry or an agent under test.
@@ -126,6 +132,9 @@
 	kind       string // of the stand-in: engine or plain
 	args       []string
 	engine     *process
+	// shut tells the load that the platform's balancer sends the entry no more
+	// callers.
+	shut atomic.Bool
 }
 
 // cluster is a whole system of real processes.
@@ -158,14 +167,17 @@
 	c.store = &objapi.Store{Addr: c.platAddr}
 	c.waitOpen(c.platAddr)
 	c.planAgents()
+	for _, zone := range s.zones {
+		for i := range s.entries {
+			c.planEntry(zone, i)
+		}
+	}
 	c.declare()
 	for _, a := range c.agents {
 		c.startAgent(a)
 	}
-	for _, zone := range s.zones {
-		for i := range s.entries {
-			c.addEntry(zone, i)
-		}
+	for _, e := range c.entries {
+		c.startEntry(e)
 	}
 	c.waitReady()
 	return c
@@ -209,18 +221,28 @@
 	c.list(n, core.RoleAgent, false)
 }
 
-func (c *cluster) addEntry(zone string, i int) *node {
-	n := &node{name: fmt.Sprintf("entry-%s-%d", zone, i), zone: zone, listen: freePort(), peer: freePort()}
-	sum := sha256.Sum256([]byte(operatorKey))
+func (c *cluster) planEntry(zone string, i int) {
+	c.entries = append(c.entries, &node{
+		name: fmt.Sprintf("entry-%s-%d", zone, i), zone: zone, listen: freePort(), peer: freePort(),
+	})
+}
+
+func (c *cluster) startEntry(n *node) {
+	test, rival := sha256.Sum256([]byte(operatorKey)), sha256.Sum256([]byte(rivalKey))
 	path := c.settings(n, fmt.Sprintf("listen = %q\npeer = %q\n", n.listen, n.peer),
-		fmt.Sprintf("[operators]\ntest = %q\n", hex.EncodeToString(sum[:])))
+		fmt.Sprintf("[operators]\ntest = %q\nrival = %q\n", hex.EncodeToString(test[:]), hex.EncodeToString(rival[:])))
 	n.process = program(c.dir, n.name, "entry", "--settings", path)
-	c.entries = append(c.entries, n)
 	c.list(n, core.RoleEntry, false)
-	return n
 }
 
 func (c *cluster) settings(n *node, top, bottom string) string {
+	if c.shape.seeds {
+		addresses := make([]string, 0, len(c.entries))
+		for _, e := range c.entries {
+			addresses = append(addresses, strconv.Quote(e.peer.String()))
+		}
+		top += "seeds = [" + strings.Join(addresses, ", ") + "]\n"
+	}
 	text := fmt.Sprintf("instance = %q\nzone = %q\nkey = %q\ngrace = \"500ms\"\ndrain = \"20s\"\n%s[platform]\naddress = %q\ntimeout = \"1s\"\n%s",
 		n.name, n.zone, peerKey, top, c.platAddr, bottom)
 	path := filepath.Join(c.dir, n.name+".toml")
--- /dev/null
+++ b/fakes/system/load_test.go
@@ -0,0 +1,176 @@
+package system_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core/suite/answer"
+	"parsleyroute.example/fakes/process/load"
+)
+
+// sample is one request of a loader.
+type sample struct {
+	result
+	id         string
+	entry      *node
+	start, end time.Time
+}
+
+func (s sample) ok() bool { return s.err == nil && s.status == 200 }
+
+// loader is a closed loop of callers that spread their requests over the open
+// entries.
+type loader struct {
+	stop    chan struct{}
+	callers sync.WaitGroup
+	count   atomic.Int64
+	mu      sync.Mutex
+	samples []sample
+}
+
+// load starts the callers. The spec's end stops them.
+func (c *cluster) load(callers int, send func(e *node, id string) result) *loader {
+	l := &loader{stop: make(chan struct{})}
+	for range callers {
+		l.callers.Add(1)
+		go func() {
+			defer GinkgoRecover()
+			defer l.callers.Done()
+			l.run(c, send)
+		}()
+	}
+	DeferCleanup(l.end)
+	return l
+}
+
+func (l *loader) run(c *cluster, send func(e *node, id string) result) {
+	for {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		n := int(l.count.Add(1))
+		open := slices.DeleteFunc(slices.Clone(c.entries), func(e *node) bool { return e.shut.Load() })
+		s := sample{id: fmt.Sprintf("load-%d", n), entry: open[n%len(open)], start: time.Now()}
+		s.result = send(s.entry, s.id)
+		s.end = time.Now()
+		l.mu.Lock()
+		l.samples = append(l.samples, s)
+		l.mu.Unlock()
+	}
+}
+
+// end stops the callers after their present requests and returns all samples.
+func (l *loader) end() []sample {
+	l.mu.Lock()
+	select {
+	case <-l.stop:
+	default:
+		close(l.stop)
+	}
+	l.mu.Unlock()
+	l.callers.Wait()
+	return l.samples
+}
+
+// failures describes the samples that failed.
+func failures(samples []sample) []string {
+	var out []string
+	for _, s := range samples {
+		if !s.ok() {
+			out = append(out, fmt.Sprintf("%s through %s at %s after %s: status %d, reason %s, run %s, %v",
+				s.id, s.entry.name, s.start.Sub(samples[0].start), s.took, s.status, s.reason, s.run, s.err))
+		}
+	}
+	return out
+}
+
+// document calls the model service for one document and checks each byte.
+func (c *cluster) document(e *node, id string, tokens int) result {
+	body := fmt.Sprintf(`{"tokens":%d,"stream":false}`, tokens)
+	r := c.do(call{
+		entry: e, team: "large", method: http.MethodPost, path: "model/generate", body: body,
+		headers: map[string]string{"X-Request-Id": id},
+	})
+	if want := answer.Of([]byte(body), "", id).JSON(tokens); r.err == nil && r.status == 200 && !bytes.Equal(r.body, want) {
+		r.err = fmt.Errorf("answer of %d bytes differs from the %d bytes of this request", len(r.body), len(want))
+	}
+	return r
+}
+
+// upstreams returns the agents of a service in a zone; an empty zone means all.
+func (c *cluster) upstreams(service, zone string) []*node {
+	var out []*node
+	for _, a := range c.agents {
+		if (zone == "" || a.zone == zone) && a.upstream[:len(service)] == service {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// inZone returns the entries of a zone.
+func (c *cluster) inZone(zone string) []*node {
+	return slices.DeleteFunc(slices.Clone(c.entries), func(e *node) bool { return e.zone != zone })
+}
+
+func (c *cluster) upstreamStats(a *node) load.Stats {
+	var s load.Stats
+	c.stats(a.backend, "/control/stats", &s)
+	return s
+}
+
+// started returns the number of requests that the upstreams have begun.
+func (c *cluster) started(upstreams []*node) int {
+	n := 0
+	for _, a := range upstreams {
+		n += c.upstreamStats(a).Started
+	}
+	return n
+}
+
+// violations returns the number of requests that came to the upstreams while
+// they had as many as they bear.
+func (c *cluster) violations(upstreams []*node) int {
+	n := 0
+	for _, a := range upstreams {
+		n += c.upstreamStats(a).Violations
+	}
+	return n
+}
+
+// waitWarm waits until the upstreams bear what they bear when warm.
+func (c *cluster) waitWarm(upstreams []*node) {
+	for _, a := range upstreams {
+		Eventually(func() int { return c.upstreamStats(a).Bears }, "30s", "50ms").Should(Equal(c.shape.limit), a.name)
+	}
+}
+
+// refusals returns how often the agents have refused for the reason.
+func (c *cluster) refusals(agents []*node, reason string) int {
+	n := 0
+	for _, a := range agents {
+		var vars struct {
+			Refusals map[string]int `json:"refusals"`
+		}
+		c.stats(a.listen, "/debug/vars", &vars)
+		n += vars.Refusals[reason]
+	}
+	return n
+}
+
+// noNewWork checks that the upstreams begin no request during d.
+func (c *cluster) noNewWork(upstreams []*node, d time.Duration) {
+	GinkgoHelper()
+	before := c.started(upstreams)
+	Consistently(func() int { return c.started(upstreams) }, d, "50ms").Should(Equal(before), "new work")
+}
--- /dev/null
+++ b/fakes/system/operators_test.go
@@ -0,0 +1,76 @@
+package system_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/admin"
+)
+
+// operate makes a call of the operators' API through an entry. It decodes the
+// answer into v or the refusal into the result.
+func (c *cluster) operate(e *node, key, method, path, body string, v any) (int, admin.FailureDetail) {
+	GinkgoHelper()
+	req, err := http.NewRequest(method, "http://"+e.listen.String()+"/v1/admin"+path, bytes.NewReader([]byte(body)))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := c.client.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	p, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	var f admin.Failure
+	if resp.StatusCode/100 != 2 {
+		Expect(json.Unmarshal(p, &f)).To(Succeed(), string(p))
+	} else if v != nil {
+		Expect(json.Unmarshal(p, v)).To(Succeed(), string(p))
+	}
+	return resp.StatusCode, f.Error
+}
+
+// zoneOut takes a zone out, and zoneIn takes it in. They return the accepted
+// change.
+func (c *cluster) zoneOut(e *node, zone string) admin.Ref {
+	GinkgoHelper()
+	return c.move(e, http.MethodPost, zone)
+}
+
+func (c *cluster) zoneIn(e *node, zone string) admin.Ref {
+	GinkgoHelper()
+	return c.move(e, http.MethodDelete, zone)
+}
+
+func (c *cluster) move(e *node, method, zone string) admin.Ref {
+	GinkgoHelper()
+	var w admin.Written
+	status, failure := c.operate(e, operatorKey, method, "/out/zone/"+zone, "", &w)
+	Expect(status).To(Equal(200), failure.Message)
+	return admin.Ref{Kind: w.Kind, Name: w.Name, Version: w.Version}
+}
+
+// inForce asks an entry for the status of all instances.
+func (c *cluster) inForce(e *node, refs ...admin.Ref) admin.Status {
+	GinkgoHelper()
+	p, err := json.Marshal(admin.StatusQuery{Refs: refs})
+	Expect(err).NotTo(HaveOccurred())
+	var s admin.Status
+	status, failure := c.operate(e, operatorKey, http.MethodPost, "/status", string(p), &s)
+	Expect(status).To(Equal(200), failure.Message)
+	return s
+}
+
+// versionOf returns the version of the object that an instance has in force.
+func versionOf(in admin.InstanceStatus, kind core.Kind, name string) uint64 {
+	for _, r := range in.Refs {
+		if r.Kind == kind && r.Name == name {
+			return r.Version
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/fakes/system/zone_test.go
@@ -0,0 +1,135 @@
+package system_test
+
+import (
+	"net/http"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// quietAfter is the time after which a zone that is out, or an upstream
+	// that leaves, gets no new work.
+	quietAfter = 3 * time.Second
+	// callers fill 33 of the 48 places of three zones, 69%.
+	callers = 33
+)
+
+// loadedZones starts three zones of two warm engines under load.
+func loadedZones() (*cluster, *loader) {
+	c := newCluster(shape{
+		zones: []string{"a", "b", "c"}, entries: 2, engines: 2, limit: 8, cold: 2, step: 4, seeds: true,
+		engineArgs: []string{"--set", `{"cold":2,"max":8,"step":4}`},
+	})
+	l := c.load(callers, func(e *node, id string) result { return c.document(e, id, 16) })
+	c.waitWarm(c.agents)
+	return c, l
+}
+
+// restartCold makes the engines cold, as new processes are.
+func (c *cluster) restartCold(agents []*node) {
+	for _, a := range agents {
+		Eventually(func() int { return c.upstreamStats(a).Inflight }, "10s", "20ms").Should(BeZero(), a.name)
+		c.control(a.backend, http.MethodPost, "/control/restart", struct{}{})
+	}
+}
+
+// serves waits until each of the upstreams has begun some more requests.
+func (c *cluster) serves(upstreams []*node) {
+	GinkgoHelper()
+	for _, a := range upstreams {
+		before := c.upstreamStats(a).Started
+		Eventually(func() int { return c.upstreamStats(a).Started }, "30s", "50ms").Should(BeNumerically(">", before+20), a.name)
+	}
+}
+
+// expectUnharmed checks that no request failed and no upstream got too much.
+func (c *cluster) expectUnharmed(l *loader) {
+	GinkgoHelper()
+	samples := l.end()
+	Expect(failures(samples)).To(BeEmpty(), "of %d requests", len(samples))
+	Expect(c.violations(c.agents)).To(BeZero(), "requests above what an upstream bears")
+}
+
+var _ = Describe("a zone that leaves and returns under load", func() {
+	// Guards against new work for a zone that is out, against requests that
+	// fail in either move, and against a flood of work for the cold upstreams
+	// of a zone that returns.
+	It("gets no new work while it is out and is warmed up when it is in again", func() {
+		c, l := loadedZones()
+		away, others := c.upstreams("model", "a"), c.inZone("b")
+		c.zoneOut(others[0], "a")
+		time.Sleep(quietAfter)
+		quiet := c.started(away)
+		c.restartCold(away)
+		c.noNewWork(away, 2*time.Second)
+		Expect(c.started(away)).To(Equal(quiet))
+		c.serves(append(c.upstreams("model", "b"), c.upstreams("model", "c")...))
+		c.zoneIn(others[1], "a")
+		c.serves(away)
+		c.waitWarm(away)
+		c.expectUnharmed(l)
+	})
+
+	// Guards against instances that need the platform to learn that a zone is
+	// in again: one that has just started gets the change from its peers.
+	It("returns while the platform is down", func() {
+		c, l := loadedZones()
+		away, others := c.upstreams("model", "a"), c.inZone("b")
+		c.zoneOut(others[0], "a")
+		time.Sleep(quietAfter)
+		c.restartCold(away)
+		for _, a := range away {
+			a.kill()
+		}
+		change := c.zoneIn(others[0], "a")
+		Eventually(func() bool {
+			for _, in := range c.inForce(others[0], change).Instances {
+				if versionOf(in, change.Kind, change.Name) >= change.Version {
+					return true
+				}
+			}
+			return false
+		}, "10s", "5ms").Should(BeTrue(), "no instance has the change")
+		c.platform.signal(syscall.SIGSTOP)
+		for _, a := range away {
+			a.start(c.dir)
+		}
+		Eventually(func() []string {
+			s := c.inForce(others[0], change)
+			return append(s.Behind, s.Unreachable...)
+		}, "10s", "100ms").Should(BeEmpty(), "instances without the change")
+		c.serves(away)
+		c.waitWarm(away)
+		c.platform.signal(syscall.SIGCONT)
+		c.expectUnharmed(l)
+	})
+
+	// Guards against entries that act on an old configuration after a freeze:
+	// the agents refuse what they send, and they learn of the change soon.
+	It("gets no new work from entries that were frozen during the order", func() {
+		c, l := loadedZones()
+		away, frozen := c.upstreams("model", "a"), c.inZone("a")
+		for _, e := range frozen {
+			e.shut.Store(true)
+			e.signal(syscall.SIGSTOP)
+		}
+		c.zoneOut(c.inZone("b")[0], "a")
+		time.Sleep(quietAfter)
+		quiet := c.started(away)
+		for _, e := range frozen {
+			e.signal(syscall.SIGCONT)
+			e.shut.Store(false)
+		}
+		time.Sleep(quietAfter)
+		refused := c.refusals(away, "upstream_out")
+		c.noNewWork(away, 2*time.Second)
+		Expect(c.started(away)).To(Equal(quiet), "work begun after the continuation")
+		Expect(c.refusals(away, "upstream_out")).To(Equal(refused), "dispatches sent after 3 s")
+		c.zoneIn(frozen[0], "a")
+		c.serves(away)
+		c.expectUnharmed(l)
+	})
+})
