expert: start a new load average at a sudden shift

Cause: after the shift the average held old loads for several half-lives, so that maps were made for a mix of both.

--- a/core/version/expert/decay.go
+++ b/core/version/expert/decay.go
@@ -12,13 +12,18 @@
 type Decay struct {
 	// HalfLife is the age at which a load counts half; zero means 2 s.
 	HalfLife time.Duration
+	// Shift is the share of a layer's load by which an observation must differ
+	// from the average to start a new one, since the older loads no longer say
+	// what comes; zero means 0.2. Counts of less than about a hundred tokens an
+	// expert differ as much by chance.
+	Shift float64
 
 	sum    core.ExpertLoad
 	weight float64
 }
 
-// Add adds a load observed over the given time and returns the average, which
-// the caller must not change. A load of another shape than the ones before
+// Add adds a load observed over the given time and returns the average. A load
+// of another shape than the ones before, or one that shows a sudden shift,
 // starts a new average.
 func (d *Decay) Add(load core.ExpertLoad, over time.Duration) core.ExpertLoad {
 	half := d.HalfLife
@@ -26,7 +31,7 @@
 		half = 2 * time.Second
 	}
 	keep := math.Exp2(-over.Seconds() / half.Seconds())
-	if !sameShape(d.sum, load) {
+	if !sameShape(d.sum, load) || d.shifted(load) {
 		d.sum, d.weight = zeros(load), 0
 	}
 	d.weight = d.weight*keep + (1 - keep)
@@ -40,6 +45,29 @@
 	return avg
 }
 
+// shifted reports whether the load's distribution over the experts of some
+// layer differs from the average by more than Shift (total variation).
+func (d *Decay) shifted(load core.ExpertLoad) bool {
+	limit := d.Shift
+	if limit == 0 {
+		limit = 0.2
+	}
+	for l, row := range load {
+		seen, known := total(row), total(d.sum[l])
+		if seen == 0 || known == 0 {
+			continue
+		}
+		distance := 0.0
+		for e, v := range row {
+			distance += math.Abs(v/seen-d.sum[l][e]/known) / 2
+		}
+		if distance > limit {
+			return true
+		}
+	}
+	return false
+}
+
 func ratioOr(sum, weight float64) float64 {
 	if weight <= 0 {
 		return 0
--- a/core/version/expert/expert_test.go
+++ b/core/version/expert/expert_test.go
@@ -134,6 +134,9 @@
 	d := expert.Decay{HalfLife: time.Second}
 	d.Add(core.ExpertLoad{{4}}, time.Second)
 	g.Expect(d.Add(core.ExpertLoad{{1}}, time.Second)[0][0]).To(BeNumerically("~", (4*0.25+1*0.5)/0.75))
+	d = expert.Decay{HalfLife: time.Second}
+	d.Add(core.ExpertLoad{{4, 4}}, time.Second)
+	g.Expect(d.Add(core.ExpertLoad{{1, 7}}, time.Second)).To(Equal(core.ExpertLoad{{1, 7}}), "a sudden shift starts anew")
 }
 
 func BenchmarkPlace256x64x60(b *testing.B) {
