--- a/core/version/expert/descend.go
+++ b/core/version/expert/descend.go
@@ -1,6 +1,9 @@
 package expert
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // layer is one layer of a map under local search.
 type layer struct {
@@ -11,6 +14,7 @@
 	holders [][]int   // ranks that hold each expert
 	has     []bool    // rank*experts+expert
 	scale   float64   // 1 / mean
+	until   []int     // step before which each slot stays as it is
 }
 
 func newLayer(slots []uint32, load []float64, ranks, perRank int) *layer {
@@ -20,6 +24,7 @@
 		holders: make([][]int, len(load)),
 		has:     make([]bool, ranks*len(load)),
 		scale:   float64(ranks) / total(load),
+		until:   make([]int, len(slots)),
 	}
 	for i, e := range slots {
 		s.holders[e] = append(s.holders[e], i/perRank)
@@ -56,8 +61,16 @@
 	score       float64 // reduction of the potential for each move
 }
 
+// The search goes on past a local minimum by taking the least bad step, and
+// keeps a changed slot as it is for tenure steps, so that it does not go back
+// (tabu search, Glover 1986). It ends after patience steps without a new best.
+const (
+	tenure   = 8
+	patience = 24
+)
+
 // descend improves the slots by the best step at the slowest rank until the
-// greatest load reaches target or no step improves. It returns the slots on the
+// greatest load reaches target or no step helps. It returns the slots on the
 // way with the greatest gain over base: the reduction of the greatest load less
 // price for each move.
 func descend(start, base []uint32, load []float64, ranks, perRank int, target, price float64) (best []uint32, gain float64) {
@@ -65,16 +78,26 @@
 	before := make([]float64, ranks)
 	rankLoads(before, base, load, perRank)
 	first := slices.Max(before)
-	for range 2 * len(start) {
+	lowest, since := first, 0
+	for now := range 2 * len(start) {
 		slowest := slices.Max(s.loads)
 		if slowest <= target {
 			break
 		}
-		st, ok := s.best(slices.Index(s.loads, slowest))
+		if slowest < lowest {
+			lowest, since = slowest, 0
+		} else if since++; since > patience {
+			break
+		}
+		st, ok := s.best(slices.Index(s.loads, slowest), now)
 		if !ok {
 			break
 		}
 		s.apply(st)
+		s.until[st.slot] = now + tenure
+		if st.other >= 0 {
+			s.until[st.other] = now + tenure
+		}
 		moved := layerMoves(base, s.slots, perRank)
 		if g := first - slices.Max(s.loads) - price*float64(moved); g > gain {
 			best, gain = slices.Clone(s.slots), g
@@ -83,9 +106,9 @@
 	return best, gain
 }
 
-// best returns the best step that changes the load of rank h.
-func (s *layer) best(h int) (step, bool) {
-	b := step{score: 1e-12}
+// best returns the best step at time now that changes the load of rank h.
+func (s *layer) best(h, now int) (step, bool) {
+	b := step{score: math.Inf(-1)}
 	found := false
 	consider := func(c step) {
 		if c.score > b.score {
@@ -97,7 +120,7 @@
 		// Swaps of the slot with one of another rank.
 		for j, y := range s.slots {
 			q := j / s.perRank
-			if q == h || s.size(y) >= s.size(x) || s.holds(q, x) || s.holds(h, y) {
+			if q == h || s.until[i] > now || s.until[j] > now || s.size(y) >= s.size(x) || s.holds(q, x) || s.holds(h, y) {
 				continue
 			}
 			d := s.size(x) - s.size(y)
@@ -105,12 +128,12 @@
 		}
 		// Another replica of the slot's expert elsewhere.
 		for j, y := range s.slots {
-			if y != x && len(s.holders[y]) > 1 && !s.holds(j/s.perRank, x) {
+			if y != x && s.until[j] <= now && len(s.holders[y]) > 1 && !s.holds(j/s.perRank, x) {
 				consider(step{slot: j, other: -1, expert: x, score: -s.replace(j/s.perRank, y, x)})
 			}
 		}
 		// Another expert in the slot.
-		if len(s.holders[x]) > 1 {
+		if len(s.holders[x]) > 1 && s.until[i] <= now {
 			for y := range uint32(len(s.load)) {
 				if !s.holds(h, y) {
 					consider(step{slot: i, other: -1, expert: y, score: -s.replace(h, x, y)})
