Refuse requests for services without upstreams at once; describe settings and counters

A service whose upstreams were all out kept its requests in the queue until their deadline. They are now refused with no_upstream and Retry-After.

--- a/core/errors.go
+++ b/core/errors.go
@@ -42,7 +42,7 @@
 	ReasonStaleToken         Reason = "stale_token"
 	ReasonCorruptAnswer      Reason = "corrupt_answer"
 	ReasonCanceled           Reason = "canceled"
-	ReasonRetryBudget        Reason = "retry_budget"
+	ReasonStreamBroken       Reason = "stream_broken"
 	ReasonNotReady           Reason = "not_ready"
 	ReasonAnswerNotRecorded  Reason = "answer_not_recorded"
 	ReasonPeerUnauthorized   Reason = "peer_unauthorized"
--- a/entry/flow/dispatch.go
+++ b/entry/flow/dispatch.go
@@ -193,7 +193,7 @@
 		b.err = err
 		return false
 	}
-	meter.Retry("stream_resumed")
+	meter.Retry(core.ReasonStreamBroken)
 	return true
 }
 
--- a/entry/flow/router.go
+++ b/entry/flow/router.go
@@ -34,6 +34,9 @@
 	// idlePeriod is the same while nothing waits. Waking an idle process every
 	// 20 ms took most of its idle processor time.
 	idlePeriod = 100 * time.Millisecond
+	// noUpstreamRetry is the time after which a caller may try again a service
+	// of which all upstreams are out.
+	noUpstreamRetry = 5 * time.Second
 	// refusedPause keeps a request whose dispatch was refused from asking the
 	// same full agents again at once.
 	refusedPause = 5 * time.Millisecond
@@ -199,8 +202,28 @@
 	return &place{upstream: chosen[i], link: l, release: l.Reserve(), candidates: len(candidates)}
 }
 
+// served reports whether any upstream that operators have not taken out may
+// serve the request.
+func (r *Router) served(req *Request) bool {
+	s := r.Table().Services[req.Service.Name]
+	if s == nil {
+		return false
+	}
+	for _, u := range usable(s) {
+		if req.Team.Routed == nil || req.Team.Routed[u.Name] {
+			return true
+		}
+	}
+	return false
+}
+
 // take waits for a place.
 func (r *Router) take(ctx context.Context, t *trip) (*place, error) {
+	if !r.served(t.req) {
+		refusal := core.Refuse(core.ReasonNoUpstream, "no upstream of the service is in use")
+		refusal.RetryAfter = noUpstreamRetry
+		return nil, refusal
+	}
 	var p *place
 	q := r.queue(t.req.Service)
 	t.item.Use = func() bool {
