--- a/core/suite/ranks/control.go
+++ b/core/suite/ranks/control.go
@@ -134,7 +134,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	st := g.stats
-	st.Mixed = slices.Clone(st.Mixed)
+	st.Mixed = append([]Step{}, st.Mixed...)
 	last := g.steps[max(0, len(g.steps)-keepSteps):]
 	if len(last) == 0 {
 		return st
--- a/fakes/process/engsrv/engsrv_test.go
+++ b/fakes/process/engsrv/engsrv_test.go
@@ -114,6 +114,29 @@
 		Expect(all(e, prompt("d", 4))).To(Equal(want(prompt("d", 4), 4)))
 	})
 
+	// Guards against a request that comes in while the engine closes and is
+	// never answered nor cut.
+	It("ends all requests when it closes", func() {
+		for range 10 {
+			srv, e := start(same)
+			ended := make(chan struct{}, 64)
+			for i := range cap(ended) {
+				go func() {
+					if reply, err := e.Do(ctx, prompt(fmt.Sprint(i), 10_000)); err == nil {
+						_, _ = io.ReadAll(reply.Body)
+						_ = reply.Body.Close()
+					}
+					ended <- struct{}{}
+				}()
+			}
+			time.Sleep(time.Millisecond)
+			go func() { _ = srv.Close() }()
+			for range cap(ended) {
+				Eventually(ended, "3s").Should(Receive())
+			}
+		}
+	})
+
 	// Guards against resumed streams that repeat or leave out a byte.
 	It("resumes a stream at any offset", func() {
 		_, e := start(func(s *engsrv.Settings) { s.BaseMs = 0.1 })
--- a/fakes/process/engsrv/handle.go
+++ b/fakes/process/engsrv/handle.go
@@ -105,6 +105,10 @@
 	q.probed = now
 	s.running = append(s.running, q)
 	s.history(now)
+	if s.ctx.Err() != nil {
+		// Close has cut the requests that came before this one.
+		s.cancel(q, now)
+	}
 	select {
 	case s.arrived <- struct{}{}:
 	default:
