--- a/fakes/process/proxy/link.go
+++ b/fakes/process/proxy/link.go
@@ -43,8 +43,15 @@
 	// HalfOpen closes the target's side of all connections without telling
 	// the clients, and accepts new ones that lead nowhere.
 	HalfOpen bool `json:"half_open"`
+	// Cross pairs the connections made from now on and gives each client what
+	// the target sends to the other one of its pair. An answer for which no
+	// partner is found within 200 ms goes to its own client.
+	Cross bool `json:"cross"`
 }
 
+// crossWait is the time for which an answer waits for a partner.
+const crossWait = 200 * time.Millisecond
+
 func (f Fault) check() error {
 	switch f.Freeze {
 	case FreezeNone, FreezeToTarget, FreezeToClient, FreezeBoth:
@@ -78,13 +85,17 @@
 	conns    map[*joint]struct{}
 	accepted int
 	closed   bool
+	// single is the connection that waits for a partner to be crossed with.
+	single *joint
 }
 
 // joint is one forwarded connection. target is nil if it leads nowhere.
 type joint struct {
 	client, target net.Conn
-	done           chan struct{}
-	once           sync.Once
+	// peer receives the connection whose client gets the target's answers.
+	peer chan *joint
+	done chan struct{}
+	once sync.Once
 }
 
 func (j *joint) close() {
@@ -176,7 +187,7 @@
 
 // forward serves one connection to its end.
 func (l *link) forward(client net.Conn) {
-	j := &joint{client: client, done: make(chan struct{})}
+	j := &joint{client: client, peer: make(chan *joint, 1), done: make(chan struct{})}
 	defer j.close()
 	if !l.half() {
 		target, err := net.DialTimeout("tcp", l.pair.Target.String(), time.Second)
@@ -195,10 +206,14 @@
 	}
 	l.conns[j] = struct{}{}
 	l.accepted++
+	l.pairUp(j)
 	l.mu.Unlock()
 	defer func() {
 		l.mu.Lock()
 		delete(l.conns, j)
+		if l.single == j {
+			l.single = nil
+		}
 		l.mu.Unlock()
 	}()
 	if j.target == nil {
@@ -207,10 +222,46 @@
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() { l.copy(j, j.target, client, FreezeToTarget) })
-	wg.Go(func() { l.copy(j, client, j.target, FreezeToClient) })
+	wg.Go(func() { l.copy(j, nil, j.target, FreezeToClient) })
 	wg.Wait()
 }
 
+// pairUp finds the peer of a new connection: itself, unless the fault state
+// crosses it with another one.
+func (l *link) pairUp(j *joint) {
+	switch {
+	case !l.fault.Cross:
+		j.peer <- j
+	case l.single == nil:
+		l.single = j
+	default:
+		j.peer <- l.single
+		l.single.peer <- j
+		l.single = nil
+	}
+}
+
+// recipient returns the client that gets the answers of the target, or nil if
+// the connection was closed.
+func (l *link) recipient(j *joint) net.Conn {
+	t := time.NewTimer(crossWait)
+	defer t.Stop()
+	select {
+	case p := <-j.peer:
+		return p.client
+	case <-j.done:
+		return nil
+	case <-t.C:
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.single == j {
+		l.single = nil
+		return j.client
+	}
+	return (<-j.peer).client
+}
+
 // chunk is what was read at once; the last one of a direction has an error.
 type chunk struct {
 	data []byte
@@ -219,7 +270,7 @@
 }
 
 // copy passes on what comes from src. It reads ahead, so that a delay does not
-// limit the rate.
+// limit the rate. A nil dst is the recipient of the target's answers.
 func (l *link) copy(j *joint, dst, src net.Conn, way Freeze) {
 	queue := make(chan chunk, 256)
 	go func() {
@@ -243,6 +294,11 @@
 		if !l.pass(j, c.due, way) {
 			return
 		}
+		if dst == nil {
+			if dst = l.recipient(j); dst == nil {
+				return
+			}
+		}
 		if len(c.data) > 0 {
 			if _, err := dst.Write(c.data); err != nil && !l.half() {
 				j.close()
--- a/fakes/process/proxy/proxy_test.go
+++ b/fakes/process/proxy/proxy_test.go
@@ -131,6 +131,40 @@
 		Expect(echo(dial(), 2*time.Second)).To(Succeed())
 	})
 
+	// Guards against tests of crossed answers that cross none, and against
+	// crossings that lose one.
+	It("crosses the answers of pairs of connections", func() {
+		set(proxy.Fault{Cross: true})
+		read := func(c net.Conn) string {
+			_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+			line, err := bufio.NewReader(c).ReadString('\n')
+			Expect(err).NotTo(HaveOccurred())
+			return line
+		}
+		a, b, single := dial(), dial(), dial()
+		Eventually(func() int { return s.Links()["a"].Open }, "2s").Should(Equal(3))
+		names := map[net.Conn]string{a: "a\n", b: "b\n", single: "single\n"}
+		for c, line := range names {
+			_, err := io.WriteString(c, line)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		got := map[string]string{}
+		for c, line := range names {
+			got[line] = read(c)
+		}
+		// The proxy may have accepted the connections in any order.
+		own := 0
+		for sent, received := range got {
+			Expect(got[received]).To(Equal(sent))
+			if sent == received {
+				own++
+			}
+		}
+		Expect(own).To(Equal(1))
+		set(proxy.Fault{})
+		Expect(echo(dial(), 2*time.Second)).To(Succeed())
+	})
+
 	// Guards against typing errors that pass unnoticed and against targets
 	// beyond this machine.
 	It("refuses bad settings", func() {
