Spread: take a set as complete only when it equals a complete one

An exchange cut at the message size skipped the rest when another exchange had just delivered the same objects, and the node then took itself as complete. With an object missing it answered that object with a tombstone, which spread. The tests now also use small messages, which found this.

Failures of the tests no longer print whole values.

--- a/core/process/spread/exchange.go
+++ b/core/process/spread/exchange.go
@@ -19,8 +19,8 @@
 	// in four.
 	abroadEvery = 4
 	// maxRounds bounds the messages of one exchange. At 1 MB each it is enough
-	// for 64 MB of objects; the next exchange goes on from there.
-	maxRounds = 64
+	// for 256 MB of objects; the next exchange goes on from there.
+	maxRounds = 256
 	// refSize estimates the size of an encoded wire.ObjectRef from above.
 	refSize = 64
 )
@@ -88,7 +88,7 @@
 		return err
 	}
 	if resp.GetDigest().GetTotal() == st.set.Total() {
-		return n.exchanged(ctx, resp.GetDigest())
+		return n.exchanged(ctx, resp.GetDigest(), true)
 	}
 	meter.Event("control_exchanges_unequal")
 	if resp, err = call(&wire.ExchangeRequest{Digest: n.digest(st, true)}); err != nil {
@@ -98,47 +98,51 @@
 	digest := resp.GetDigest()
 	for range maxRounds {
 		if len(rest) == 0 {
-			return n.exchanged(ctx, digest)
+			return n.exchanged(ctx, digest, false)
 		}
 		st = n.current()
-		some, refs := takeBuckets(st.set, rest)
+		some, refs := takeBuckets(st.set, rest, n.MaxMessage)
 		resp, err = call(&wire.ExchangeRequest{Digest: n.digest(st, false), Buckets: some, Refs: refs})
 		if err != nil {
 			return err
 		}
 		objects := fromWire(resp.GetObjects())
-		taken := 0
-		if err := n.do(ctx, func(o *owner) { taken = o.accept(objects, origin{zone: resp.GetZone()}) }); err != nil {
+		if err := n.do(ctx, func(o *owner) { o.accept(objects, origin{zone: resp.GetZone()}) }); err != nil {
 			return err
 		}
 		if err := n.pushTo(ctx, addr, wanted(st.set, resp.GetWant())); err != nil {
 			return err
 		}
-		if !resp.GetMore() || taken == 0 {
+		if !resp.GetMore() {
 			rest = rest[len(some):]
 		}
 	}
 	return nil
 }
 
-// exchanged notes what an exchange with a peer has shown.
-func (n *Node) exchanged(ctx context.Context, d *wire.Digest) error {
+// exchanged notes what an exchange with a peer has shown. Only a set equal to
+// the peer's is known to be complete at the peer's revision; a node that took
+// itself as complete with an object missing would delete it everywhere.
+func (n *Node) exchanged(ctx context.Context, d *wire.Digest, equal bool) error {
 	seen := n.Clock.Now().Add(-time.Duration(d.GetRosterAgeMs()) * time.Millisecond)
 	return n.do(ctx, func(o *owner) {
 		o.confirm(d.GetRoster(), seen)
-		if d.GetSynced() {
+		switch {
+		case d.GetSynced() && equal:
 			o.sync(d.GetComplete())
+		case d.GetSynced():
+			o.sync(0)
 		}
 	})
 }
 
 // takeBuckets returns as many of the buckets as fit in a message, and their
 // versions.
-func takeBuckets(set *objset.Snapshot, buckets []uint32) ([]uint32, []*wire.ObjectRef) {
+func takeBuckets(set *objset.Snapshot, buckets []uint32, limit int) ([]uint32, []*wire.ObjectRef) {
 	var refs []*wire.ObjectRef
 	for i, b := range buckets {
 		objects := set.Bucket(int(b))
-		if i > 0 && (len(refs)+len(objects))*refSize > maxMessage {
+		if i > 0 && (len(refs)+len(objects))*refSize > limit {
 			return buckets[:i], refs
 		}
 		for _, obj := range objects {
--- a/core/process/spread/fabric_test.go
+++ b/core/process/spread/fabric_test.go
@@ -42,6 +42,7 @@
 
 	// The network. Messages between two zones of which one is cut are lost.
 	luck     *rand.Rand // of the platform and the network
+	message  int        // MaxMessage of the nodes
 	loss     float64
 	noPush   bool
 	cut      map[string]bool
@@ -249,6 +250,7 @@
 	p := platform{fleet: f, zone: inst.Zone}
 	n := &spread.Node{
 		Self: inst, Store: p, Lister: p, Seeds: f.seeds, Peers: link{f, inst.Zone}, Key: key, Incarnation: f.incarnation,
+		MaxMessage: f.message,
 	}
 	if see := f.onChange; see != nil {
 		n.OnChange = func(objects []core.Object) {
@@ -309,7 +311,7 @@
 		}
 		for k, obj := range f.at(len(f.log)) {
 			if got, ok := live[k]; ok == obj.Deleted || ok && (got.Version != obj.Version || !bytes.Equal(got.Value, obj.Value)) {
-				return fmt.Errorf("%s has %v, the platform %v", name, got, obj)
+				return fmt.Errorf("%s has version %d of %v, the platform %d, deleted: %v", name, got.Version, k, obj.Version, obj.Deleted)
 			}
 		}
 	}
--- a/core/process/spread/node.go
+++ b/core/process/spread/node.go
@@ -52,6 +52,10 @@
 	// Kinds are the kinds that are spread; default core.DeclarationKinds.
 	Kinds []core.Kind
 
+	// MaxMessage is the greatest size in bytes of the objects or versions in one
+	// message, unless a single object is larger; default 1 MB.
+	MaxMessage int
+
 	// RelistPeriod is the time between a watcher's lists; default 60 s.
 	RelistPeriod time.Duration
 	// RosterPeriod is the time between a watcher's reads of the instance list;
@@ -120,6 +124,9 @@
 		def(&n.CallTimeout, time.Second)
 		def(&n.StoreTimeout, 10*time.Second)
 		def(&n.WatchTimeout, time.Minute)
+		if n.MaxMessage <= 0 {
+			n.MaxMessage = 1 << 20
+		}
 		if n.Clock == nil {
 			n.Clock = clock.Real{}
 		}
--- a/core/process/spread/node_test.go
+++ b/core/process/spread/node_test.go
@@ -71,10 +71,11 @@
 		zones, entries := rapid.IntRange(1, 3).Draw(rt, "zones"), rapid.IntRange(1, 4).Draw(rt, "entries")
 		agents, steps := rapid.IntRange(0, 3).Draw(rt, "agents"), rapid.IntRange(1, 20).Draw(rt, "steps")
 		loss := rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(rt, "loss")
+		message := rapid.SampledFrom([]int{0, 100, 500}).Draw(rt, "message")
 		var err error
 		synctest.Test(t, func(*testing.T) {
 			f := newFleet(seed, zones, entries, agents)
-			f.loss = loss
+			f.loss, f.message = loss, message
 			err = faults(f, steps)
 		})
 		if err != nil {
--- a/core/process/spread/object.go
+++ b/core/process/spread/object.go
@@ -9,11 +9,6 @@
 	"parsleyroute.example/core/wire"
 )
 
-// maxMessage is the greatest size of the objects or versions in one message,
-// in bytes, unless a single object is larger. The store's values have up to
-// 1 MB.
-const maxMessage = 1 << 20
-
 // maxBody is the greatest size of a message that is read.
 const maxBody = 4 << 20
 
@@ -51,12 +46,12 @@
 	return len(w.GetKind()) + len(w.GetName()) + len(w.GetWriter()) + len(w.GetNonce()) + len(w.GetValue()) + 48
 }
 
-// batches splits objects into messages of at most maxMessage bytes.
-func batches(objects []*wire.Object) [][]*wire.Object {
+// batches splits objects into messages of at most limit bytes.
+func batches(objects []*wire.Object, limit int) [][]*wire.Object {
 	var out [][]*wire.Object
 	start, sum := 0, 0
 	for i, obj := range objects {
-		if s := size(obj); i > start && sum+s > maxMessage {
+		if s := size(obj); i > start && sum+s > limit {
 			out = append(out, objects[start:i])
 			start, sum = i, s
 		} else {
--- a/core/process/spread/serve.go
+++ b/core/process/spread/serve.go
@@ -82,7 +82,7 @@
 				continue
 			}
 			w := toWire(obj)
-			if sum += size(w); sum > maxMessage && len(resp.GetObjects()) > 0 {
+			if sum += size(w); sum > s.n.MaxMessage && len(resp.GetObjects()) > 0 {
 				resp.More = true
 				break
 			}
