Prefer upstreams whose cache holds a prompt's prefix

Agents read their engine's cache events and send each entry the next ones with heads, tails, refusals and pings; entries score candidates with them. A gap or a new engine process drops what was believed of the engine.

--- a/agent/guard/guard.go
+++ b/agent/guard/guard.go
@@ -19,6 +19,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/gravitational/trace"
 
+	"parsleyroute.example/agent/cache"
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/conn/probe"
 	"parsleyroute.example/core/process/meter"
@@ -51,6 +52,8 @@
 	Gate     *ramp.Gate
 	Ledger   *ledger.Ledger
 	Engine   core.Engine
+	// Cache has the engine's cache events for entries.
+	Cache    *cache.Feed
 	Recorder Recorder
 	Logger   log.Logger
 	// Base ends when the process ends; it bounds claimed requests.
@@ -63,7 +66,11 @@
 // Serve answers one dispatch on w and returns when the answer has ended. conn
 // is the entry's connection; it is only probed.
 func (g *Guard) Serve(conn net.Conn, w *bufio.Writer, d *wire.Dispatch, body []byte) {
-	load := func() *wire.Load { return codec.LoadToWire(g.Gate.Load(d.GetEntry())) }
+	load := func() *wire.Load {
+		l := codec.LoadToWire(g.Gate.Load(d.GetEntry()))
+		l.CacheEpoch, l.CacheEvents = g.Cache.Since(d.GetEntry())
+		return l
+	}
 	out := frame.NewWriter(w, d.GetAttempt(), load)
 	if d.GetUpstream() != g.Upstream {
 		g.reject(out, d, core.Refuse(core.ReasonNotFound, "the agent serves another upstream"))
--- a/agent/serve/agent.go
+++ b/agent/serve/agent.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"github.com/samber/do/v2"
 
+	"parsleyroute.example/agent/cache"
 	"parsleyroute.example/agent/guard"
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/conn/links"
@@ -49,6 +50,7 @@
 	guard       *guard.Guard
 	engine      core.Engine
 	fence       fence
+	cache       *cache.Feed
 	// rules belongs to the node's owner goroutine, which calls configure.
 	rules rules.Compiler
 	seen  uint64
@@ -66,6 +68,7 @@
 	}
 	go func() { _ = a.node.Run(base) }()
 	go a.followReports(base)
+	go a.cache.Run(base)
 	_ = level.Info(a.Logger).Log("msg", "listening", "address", srv.Addr(), "incarnation", a.incarnation)
 	<-ctx.Done()
 	err := a.drain(srv)
@@ -104,6 +107,7 @@
 			Gate:     do.MustInvoke[*ramp.Gate](i),
 			Ledger:   do.MustInvoke[*ledger.Ledger](i),
 			Engine:   do.MustInvoke[core.Engine](i),
+			Cache:    a.cache,
 			Recorder: &claim.Claims{
 				Store:  do.MustInvoke[core.Store](i),
 				Clock:  do.MustInvoke[core.Clock](i),
@@ -128,9 +132,10 @@
 			OnChange:    a.configure,
 		}, nil
 	})
+	a.engine = do.MustInvoke[core.Engine](i)
+	a.cache = &cache.Feed{Engine: a.engine, Clock: do.MustInvoke[core.Clock](i)}
 	a.gate = do.MustInvoke[*ramp.Gate](i)
 	a.ledger = do.MustInvoke[*ledger.Ledger](i)
-	a.engine = do.MustInvoke[core.Engine](i)
 	a.guard = do.MustInvoke[*guard.Guard](i)
 	a.node = do.MustInvoke[*spread.Node](i)
 }
@@ -208,6 +213,7 @@
 				a.gate.Cool()
 			}
 			a.seen = report.Incarnation
+			a.cache.Restart(report.Incarnation)
 		}
 		if (clock.Real{}).Sleep(ctx, reportPeriod) != nil {
 			return
--- a/bench/load/run.go
+++ b/bench/load/run.go
@@ -71,6 +71,10 @@
 	next := begin.Add(-s.Warmup.Duration)
 	end := begin.Add(s.Length.Duration)
 	targets := s.targets(st)
+	shared := make([]string, st.Shared)
+	for i := range shared {
+		shared[i] = letters(rng, st.Prefix)
+	}
 	for count := 0; next.Before(end); count++ {
 		if sleepUntil(ctx, next) != nil {
 			return
@@ -79,6 +83,9 @@
 		body := st.Body
 		if body == "" {
 			body = generate(rng, st)
+			if len(shared) > 0 {
+				body = shared[rng.IntN(len(shared))] + body
+			}
 		}
 		req, err := http.NewRequestWithContext(ctx, cmpOr(st.Method, http.MethodPost), "http://"+target.String()+st.Path, strings.NewReader(body))
 		if err != nil {
@@ -127,7 +134,11 @@
 	if !st.Fixed {
 		n = math.Min(20*n, n*rng.ExpFloat64())
 	}
-	b := make([]byte, max(1, int(n)))
+	return letters(rng, max(1, int(n)))
+}
+
+func letters(rng *rand.Rand, n int) string {
+	b := make([]byte, n)
 	for i := range b {
 		b[i] = 'a' + byte(rng.IntN(26))
 	}
--- a/bench/load/scenario.go
+++ b/bench/load/scenario.go
@@ -37,6 +37,10 @@
 	// unless Fixed is set.
 	Size  int  `toml:"size"`
 	Fixed bool `toml:"fixed"`
+	// Shared is the number of prefixes of which each body begins with one, for
+	// example system prompts, and Prefix their length in bytes.
+	Shared int `toml:"shared"`
+	Prefix int `toml:"prefix"`
 	// Body replaces the generated body.
 	Body string `toml:"body"`
 	// Targets replace the scenario's targets for this stream.
--- a/core/conn/links/link.go
+++ b/core/conn/links/link.go
@@ -47,7 +47,10 @@
 	Clock   core.Clock
 	// HTTP is the client for unary calls. It adds the peer key.
 	HTTP wire.HTTPClient
+	// OnCache receives cache events with their epoch; it may be nil.
+	OnCache func(name string, epoch uint64, events []*wire.CacheEvent)
 
+	name     string
 	client   *fasthttp.HostClient
 	upstream wire.Upstream
 	config   wire.Config
@@ -63,6 +66,7 @@
 
 // Open prepares the link. No connection is made before the first dispatch.
 func (l *Link) Open() *Link {
+	l.name = l.Addr.String()
 	l.client = &fasthttp.HostClient{
 		Addr:                      l.Addr.String(),
 		Dial:                      dial,
@@ -114,8 +118,14 @@
 	}
 	load := codec.LoadFromWire(w, l.Clock.Now())
 	l.load.Store(&load)
+	if l.OnCache != nil && w.GetCacheEpoch() != 0 {
+		l.OnCache(l.name, w.GetCacheEpoch(), w.GetCacheEvents())
+	}
 }
 
+// Name returns the agent's address as text.
+func (l *Link) Name() string { return l.name }
+
 // Usable reports whether requests may be sent to the agent now: it is neither
 // lost nor known to be full.
 func (l *Link) Usable() bool {
--- a/entry/flow/router.go
+++ b/entry/flow/router.go
@@ -56,6 +56,7 @@
 	Subset int
 	Logger log.Logger
 	Claims *claim.Claims
+	Prefix *Affinity
 
 	journal Journal
 	mu      sync.Mutex
@@ -191,6 +192,7 @@
 		}
 		candidates = append(candidates, core.Candidate{
 			Name: u.Name, Zone: u.Zone, Limit: u.Limit, Own: l.Inflight(), Load: l.Load(),
+			Affinity: r.Prefix.Of(l.Name(), t),
 		})
 		chosen = append(chosen, u)
 	}
--- a/entry/flow/trip.go
+++ b/entry/flow/trip.go
@@ -23,6 +23,9 @@
 	// full agents refused of a repeatable request.
 	refused int
 	busy    int
+	// chain has the hashes of the prompt's prefixes once hashed is set.
+	chain  []uint64
+	hashed bool
 	// avoid holds the upstreams that failed the request.
 	avoid map[string]bool
 }
--- a/entry/serve/entry.go
+++ b/entry/serve/entry.go
@@ -132,8 +132,9 @@
 	}
 	c := do.MustInvoke[core.Clock](i)
 	unary := do.MustInvoke[*spread.HTTPPeers](i)
+	prefix := &flow.Affinity{Off: s.Affinity == "off"}
 	pooled := &pool.Keyed[netip.AddrPort, *links.Link]{New: func(a netip.AddrPort) *links.Link {
-		return (&links.Link{Addr: a, PeerKey: s.Key, Clock: c, HTTP: unary}).Open()
+		return (&links.Link{Addr: a, PeerKey: s.Key, Clock: c, HTTP: unary, OnCache: prefix.Take}).Open()
 	}}
 	return &flow.Router{
 		Self:    core.Instance{Name: s.Instance, Role: core.RoleEntry, Zone: s.Zone, Peer: s.Peer},
@@ -145,6 +146,7 @@
 		Budgets: &retry.Budgets{},
 		Subset:  s.Subset,
 		Logger:  e.Logger,
+		Prefix:  prefix,
 		Claims: &claim.Claims{
 			Store:  do.MustInvoke[core.Store](i),
 			Agents: flow.Agents{Links: pooled},
--- a/entry/serve/settings.go
+++ b/entry/serve/settings.go
@@ -27,6 +27,9 @@
 	// Picker is choices (default), or a baseline for experiments: robin, random
 	// or least.
 	Picker string `toml:"picker"`
+	// Affinity is on (default) or off: whether prompts prefer the upstream that
+	// has their prefix in its cache.
+	Affinity string `toml:"affinity"`
 }
 
 // Check reports the first setting that is missing or out of range.
@@ -48,6 +51,9 @@
 	if s.Subset < 0 {
 		return trace.BadParameter("setting subset must not be negative")
 	}
+	if s.Affinity != "" && s.Affinity != "on" && s.Affinity != "off" {
+		return trace.BadParameter("setting affinity: %q is not on or off", s.Affinity)
+	}
 	_, err := newPicker(s.Picker, s.Zone)
 	return err
 }
--- a/fakes/process/engsrv/handle.go
+++ b/fakes/process/engsrv/handle.go
@@ -94,6 +94,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cached := s.cache.hit(q.prefixes)
+	s.prompt += len(q.prefixes)
+	s.hit += cached
 	q.prefill = 1 + max(0, size-cached*engine.BlockSize)/4
 	if offset > 0 {
 		// Tokens that were made before are kept, or read again as prompt.
--- a/fakes/process/engsrv/server.go
+++ b/fakes/process/engsrv/server.go
@@ -47,6 +47,7 @@
 	steps       int
 	tokens      int
 	resumed     int
+	prompt, hit int
 }
 
 // Order is an order that the engine got.
@@ -66,6 +67,10 @@
 	Tokens      int    `json:"tokens"`
 	Resumed     int    `json:"resumed"`
 	Cached      int    `json:"cached_blocks"`
+	// Prompt and Hit count the blocks of all prompts, and those of them that
+	// were in the cache.
+	Prompt int `json:"prompt_blocks"`
+	Hit    int `json:"hit_blocks"`
 	// Orders holds the last 100 orders.
 	Orders []Order `json:"orders"`
 }
@@ -165,7 +170,7 @@
 	defer s.mu.Unlock()
 	return Stats{
 		Stats: s.gauge.Stats(), Incarnation: s.incarnation, Steps: s.steps, Tokens: s.tokens,
-		Resumed: s.resumed, Cached: s.cache.order.Len(), Orders: slices.Clone(s.orders),
+		Resumed: s.resumed, Cached: s.cache.order.Len(), Prompt: s.prompt, Hit: s.hit, Orders: slices.Clone(s.orders),
 	}
 }
 
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -87,7 +87,7 @@
       n=$((n + 1))
       {
         settings "entry-$n" "$zone"
-        printf 'listen = "127.0.0.1:%d"\npeer = "127.0.0.1:%d"\npicker = "%s"\n' $((7300 + n)) $((7400 + n)) "${PICKER:-}"
+        printf 'listen = "127.0.0.1:%d"\npeer = "127.0.0.1:%d"\npicker = "%s"\naffinity = "%s"\n' $((7300 + n)) $((7400 + n)) "${PICKER:-}" "${AFFINITY:-on}"
         printf '[platform]\naddress = "%s"\n[operators]\nlocal = "%s"\n' "$platform" \
           "$(printf %s "$operator_key" | sha256sum | cut -d' ' -f1)"
       } >"$dir/entry-$n.toml"
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -2,7 +2,7 @@
 # Runs a measurement against a whole system on this machine and prints its
 # tables. docs/measurements.md has the figures and their conditions.
 #
-#   scripts/measure.sh overhead|zone|overload|pickers|control [RUNS]
+#   scripts/measure.sh overhead|zone|prefix [RUNS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh
@@ -107,6 +107,34 @@
   scripts/cluster.sh down "$dir"
 }
 
+# prefix SEED AFFINITY: prompts that begin with one of 60 prefixes of 8 KB.
+prefix() {
+  AFFINITY=$2 STEP=1 ENGINE_FLAGS='--set {"tokens":16,"blocks":320,"prefill_us":100,"step":1,"event_gap":2000}' scripts/cluster.sh up ndiaye "$dir"
+  . "$dir/env"
+  cat >"$dir/scenario.toml" <<TOML
+name = "prompts with shared prefixes, affinity $2 (seed $1)"
+seed = $1
+warmup = "10s"
+length = "15s"
+targets = [$(targets $ENTRIES)]
+[[stream]]
+name = "prompts"
+path = "/v1/services/lettering-model/letterings"
+rate = 24
+size = 300
+shared = 60
+prefix = 8192
+headers = {Authorization = "Bearer bench", Accept = "text/event-stream"}
+TOML
+  .out/bin/bench load "$dir/scenario.toml" --json "$out/prefix.jsonl"
+  for port in $(seq 8101 8112); do
+    curl -s "http://127.0.0.1:$port/control/stats"
+    echo
+  done | tr '{,}' '\n' | awk -F: '/"prompt_blocks"/ {p += $2} /"hit_blocks"/ {h += $2}
+    END {printf "\nprompt blocks served from a cache: %.1f%% of %d\n", 100*h/p, p}'
+  scripts/cluster.sh down "$dir"
+}
+
 # watch_zone ZONE prints how long after the order the last request began at an
 # engine of the zone. It polls while the order is in force.
 watch_zone() {
@@ -144,6 +172,12 @@
     zone "$run" chinook note-writer /notes prairie-b "${RATE:-150}"
   done
   ;;
+prefix)
+  for run in $(seq "${2:-3}"); do
+    prefix "$run" off
+    prefix "$run" on
+  done
+  ;;
 overhead) for run in $(seq "${2:-5}"); do overhead "$run"; done ;;
 *)
   sed -n '2,5s/^# \{0,1\}//p' "$0"
