--- a/entry/flow/trip.go
+++ b/entry/flow/trip.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/core/request/admit"
@@ -82,20 +80,6 @@
 	})
 }
 
-// Status implements front.Handler.
-func (r *Router) Status(_ context.Context, id string) (any, error) {
-	if rec, ok := r.journal.Get(id); ok {
-		return rec, nil
-	}
-	return nil, trace.NotFound("request %q is not in the journal", id)
-}
-
-// Explain returns what the entry remembers of a request.
-func (r *Router) Explain(id string) (any, bool) {
-	rec, ok := r.journal.Get(id)
-	return rec, ok
-}
-
 func (r *Router) serveRepeatable(ctx context.Context, t *trip) (*Answer, error) {
 	budget := r.Budgets.Of(t.req.Service.Name)
 	budget.First()
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -37,6 +37,8 @@
 	maxDiscard = 32 << 20
 	// maxPriority is the highest priority.
 	maxPriority = 9
+	// statusTimeout bounds the search for a request's record.
+	statusTimeout = 2 * time.Second
 	// maxDeadline bounds the deadline that a caller may ask for.
 	maxDeadline = 24 * time.Hour
 )
@@ -44,13 +46,17 @@
 // Handler runs requests.
 type Handler interface {
 	Serve(ctx context.Context, req *flow.Request) (*flow.Answer, error)
-	// Status describes a request by its id.
-	Status(ctx context.Context, id string) (any, error)
+}
+
+// Finder finds the records of requests.
+type Finder interface {
+	Find(ctx context.Context, id string) (*flow.Record, error)
 }
 
 // Front serves callers. Exported fields are set before use.
 type Front struct {
 	Handler Handler
+	Finder  Finder
 	Table   func() *core.Table
 	Clock   core.Clock
 	// Ready reports whether the entry can serve; a drained entry is not ready.
@@ -92,17 +98,20 @@
 	return c.SendString("ready\n")
 }
 
+// status describes a request to the team that sent it.
 func (f *Front) status(c fiber.Ctx) error {
-	if _, err := f.team(c); err != nil {
-		return refuse(c, "", err)
+	id := c.Params("id")
+	team, err := f.team(c)
+	if err != nil {
+		return refuse(c, id, err)
 	}
-	ctx, cancel := context.WithTimeout(f.Base, 2*time.Second)
+	ctx, cancel := context.WithTimeout(f.Base, statusTimeout)
 	defer cancel()
-	s, err := f.Handler.Status(ctx, c.Params("id"))
-	if err != nil {
-		return refuse(c, c.Params("id"), core.Refuse(core.ReasonNotFound, "no entry remembers the request"))
+	rec, err := f.Finder.Find(ctx, id)
+	if err != nil || rec.Team != team.Name {
+		return refuse(c, id, core.Refuse(core.ReasonNotFound, "no entry remembers the request"))
 	}
-	return c.JSON(s)
+	return c.JSON(rec)
 }
 
 func (f *Front) serve(c fiber.Ctx) error {
--- a/entry/serve/entry.go
+++ b/entry/serve/entry.go
@@ -39,14 +39,16 @@
 	Settings Settings
 	Logger   log.Logger
 
-	clock    core.Clock
-	store    core.Store
-	node     *spread.Node
-	peers    *spread.HTTPPeers
-	router   *flow.Router
-	front    *front.Front
-	table    atomic.Pointer[core.Table]
-	draining atomic.Bool
+	clock  core.Clock
+	store  core.Store
+	node   *spread.Node
+	peers  *spread.HTTPPeers
+	router *flow.Router
+	// explainer answers for the records of requests.
+	explainer *flow.Explainer
+	front     *front.Front
+	table     atomic.Pointer[core.Table]
+	draining  atomic.Bool
 	// rules belongs to the node's owner goroutine, which calls apply.
 	rules rules.Compiler
 }
@@ -86,9 +88,19 @@
 	do.Provide(i, func(do.Injector) (core.Picker, error) { return newPicker(s.Picker, s.Zone) })
 	do.Provide(i, e.provideNode)
 	do.Provide(i, e.provideRouter)
+	do.Provide(i, func(i do.Injector) (*flow.Explainer, error) {
+		return &flow.Explainer{
+			Router:    do.MustInvoke[*flow.Router](i),
+			Instances: do.MustInvoke[*spread.Node](i).Instances,
+			Peer: func(in core.Instance) wire.Trace {
+				return wire.NewTraceProtobufClient("http://"+in.Peer.String(), do.MustInvoke[*spread.HTTPPeers](i))
+			},
+		}, nil
+	})
 	do.Provide(i, func(i do.Injector) (*front.Front, error) {
 		return &front.Front{
 			Handler: do.MustInvoke[*flow.Router](i),
+			Finder:  do.MustInvoke[*flow.Explainer](i),
 			Table:   e.table.Load,
 			Clock:   do.MustInvoke[core.Clock](i),
 			Ready:   func() bool { return e.node.Synced() && e.table.Load() != nil && !e.draining.Load() },
@@ -104,6 +116,7 @@
 	}
 	e.router = do.MustInvoke[*flow.Router](i)
 	e.node = do.MustInvoke[*spread.Node](i)
+	e.explainer = do.MustInvoke[*flow.Explainer](i)
 	e.router.Gauges()
 	return nil
 }
@@ -192,16 +205,25 @@
 		StatusOf: func(ctx context.Context, in core.Instance, refs []*wire.ObjectRef) (*wire.StatusResponse, error) {
 			return e.peers.Peer(in.Peer).Status(ctx, &wire.StatusRequest{Refs: refs})
 		},
-		Explain: e.router.Explain,
+		Explain: e.explain,
 		Keys:    e.Settings.Operators,
 		Logger:  e.Logger,
 		Clock:   e.clock,
 	}
 }
 
+// explain finds the record of a request for operators.
+func (e *Entry) explain(id string) (any, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	rec, err := e.explainer.Find(ctx, id)
+	return rec, err == nil
+}
+
 func (e *Entry) peersApp() *fiber.App {
 	app := fiber.New(fiber.Config{AppName: "parsleyroute entry peers", IdleTimeout: time.Minute, Immutable: true})
 	server.Twirp(app, wire.ConfigPathPrefix, e.node.Handler())
+	server.Twirp(app, wire.TracePathPrefix, spread.RequirePeerKey(e.Settings.Key, wire.NewTraceServer(e.explainer)))
 	server.Debug(app)
 	return app
 }
--- a/fakes/system/path_test.go
+++ b/fakes/system/path_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"syscall"
@@ -32,6 +33,19 @@
 	return r
 }
 
+// record returns what an entry says of a request.
+func (c *cluster) record(entry *node, team, id string) string {
+	req, err := http.NewRequest(http.MethodGet, "http://"+entry.listen.String()+"/v1/requests/"+id, nil)
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+team)
+	resp, err := c.client.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(body)
+}
+
 // order places an order that must not be repeated.
 func (c *cluster) order(entry *node, key, body string) result {
 	return c.do(call{
@@ -68,6 +82,11 @@
 		Expect(json.Unmarshal(r.body, &doc)).To(Succeed())
 		Expect(doc["tokens"]).To(HaveLen(8))
 
+		By("telling from any entry what became of a request, to its own team only")
+		other := c.entries[1]
+		Expect(c.record(other, "small", "doc")).To(ContainSubstring(`"state":"answered"`))
+		Expect(c.record(other, "large", "doc")).To(ContainSubstring(`"not_found"`))
+
 		By("running an order once, whichever entry gets it")
 		first := c.order(c.entries[0], "order-1", "brass plate")
 		Expect(first.status).To(Equal(200), string(first.body))
@@ -75,9 +94,9 @@
 		Expect(second.status).To(Equal(200), string(second.body))
 		Expect(second.body).To(Equal(first.body))
 		Expect(c.runs("order-1")).To(Equal(1))
-		other := c.order(c.entries[1], "order-1", "carved lintel")
-		Expect(other.status).To(Equal(409))
-		Expect(other.reason).To(Equal("claim_conflict"))
+		conflict := c.order(c.entries[1], "order-1", "carved lintel")
+		Expect(conflict.status).To(Equal(409))
+		Expect(conflict.reason).To(Equal("claim_conflict"))
 	})
 
 	// Guards against failures without a type and against calls that nobody has
