Add the two-phase switch of the expert map

The decider is a state machine without I/O, so that the tests schedule every message. core.Group and the wire schema gain the engine's incarnation, which Prepare and Decide name: a replaced engine has lost its ballot and would otherwise carry out late orders. Inspect promises only a higher ballot, so that two deciders cannot both use one. Ranks.Load gives the leader the loads.

--- a/core/group.go
+++ b/core/group.go
@@ -60,7 +60,12 @@
 // RankState is what a rank's engine process keeps of a switch. It outlives
 // restarts of the rank's agent.
 type RankState struct {
+	// Incarnation changes whenever the engine process is replaced and thereby
+	// loses its promise.
+	Incarnation uint64
 	Step        uint64
+	// ActiveEpoch is zero while the rank joins: a new engine process takes part
+	// in no step until Decide admits it.
 	ActiveEpoch uint64
 	// Ballot is the highest ballot promised.
 	Ballot Ballot
@@ -76,18 +81,28 @@
 
 // Group is one rank of a group, as its agent meets it.
 //
-// Each call is atomic in the rank's engine process. Stale ballots are refused
-// with trace.CompareFailed.
+// Each call is atomic in the rank's engine process. Stale ballots and orders
+// for another incarnation are refused with trace.CompareFailed.
 type Group interface {
-	// Inspect returns the state. A ballot above the promised one is promised.
+	// Inspect returns the state. A zero ballot only reads. Any other ballot
+	// must be above the promised one and is promised, so that of two callers
+	// with one ballot only one succeeds.
 	Inspect(ctx context.Context, ballot Ballot) (RankState, error)
-	// Stage loads the weights of a map without activating it.
+	// Stage loads the weights of a map without activating it. Only the token
+	// of the ballot is compared.
 	Stage(ctx context.Context, ballot Ballot, m *ExpertMap) (moved int, err error)
 	// Prepare promises to hold at step until the outcome is known. It fails
-	// with trace.CompareFailed if the step has passed.
-	Prepare(ctx context.Context, ballot Ballot, epoch, step uint64) (RankState, error)
-	// Decide commits the prepared switch or gives it up.
-	Decide(ctx context.Context, ballot Ballot, epoch, step uint64, commit bool) (RankState, error)
+	// with trace.CompareFailed if the step has begun, the epoch is not staged
+	// or not above the active one, or another switch is committed and not yet
+	// active. It succeeds if repeated, and for a joining rank.
+	Prepare(ctx context.Context, ballot Ballot, incarnation, epoch, step uint64) (RankState, error)
+	// Decide commits the prepared switch or gives it up. It does nothing if a
+	// switch to commit is active, or a switch to give up is not prepared. With
+	// commit, a joining rank takes part from step on with the staged epoch. It
+	// fails with trace.CompareFailed for a commit that was not prepared and for
+	// giving up a committed switch. A joining rank, which has run nothing, may
+	// give up a committed one too.
+	Decide(ctx context.Context, ballot Ballot, incarnation, epoch, step uint64, commit bool) (RankState, error)
 	// Load returns the load of each expert that the rank has seen since the
 	// last call.
 	Load(ctx context.Context) (ExpertLoad, error)
--- /dev/null
+++ b/core/version/commit/wire.go
@@ -0,0 +1,281 @@
+package commit
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/twitchtv/twirp"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/wire"
+)
+
+// KeyHeader is the HTTP header that carries the peer key.
+const KeyHeader = "X-Peer-Key"
+
+// Server serves wire.Ranks for one rank. Decider is nil on all ranks but 0.
+type Server struct {
+	Group   string
+	Rank    *Rank
+	Decider *Decider
+}
+
+// Handler returns the HTTP handler; calls without the peer key get 401.
+func (s *Server) Handler(key string) http.Handler {
+	h := wire.NewRanksServer(s)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get(KeyHeader)), []byte(key)) != 1 {
+			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "wrong peer key"))
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) check(group string) error {
+	if group != s.Group {
+		return twirp.NewError(twirp.NotFound, "this rank is of another group")
+	}
+	return nil
+}
+
+// Stage implements wire.Ranks.
+func (s *Server) Stage(ctx context.Context, q *wire.StageRequest) (*wire.StageResponse, error) {
+	if err := s.check(q.GetGroup()); err != nil {
+		return nil, err
+	}
+	m := MapFromWire(q.GetMap())
+	if m.Epoch == 0 {
+		return nil, twirp.RequiredArgumentError("map.epoch")
+	}
+	n, err := s.Rank.Stage(ctx, ballotFromWire(q.GetBallot()), m)
+	if err == nil && s.Decider != nil {
+		err = s.Decider.Keep(ctx, m)
+	}
+	return &wire.StageResponse{Moved: uint32(n)}, toTwirp(err)
+}
+
+// Prepare implements wire.Ranks.
+func (s *Server) Prepare(ctx context.Context, q *wire.PrepareRequest) (*wire.PrepareResponse, error) {
+	if err := s.check(q.GetGroup()); err != nil {
+		return nil, err
+	}
+	st, err := s.Rank.Prepare(ctx, ballotFromWire(q.GetBallot()), q.GetIncarnation(), q.GetEpoch(), q.GetStep())
+	return &wire.PrepareResponse{State: stateToWire(st)}, toTwirp(err)
+}
+
+// Decide implements wire.Ranks.
+func (s *Server) Decide(ctx context.Context, q *wire.DecideRequest) (*wire.DecideResponse, error) {
+	if err := s.check(q.GetGroup()); err != nil {
+		return nil, err
+	}
+	st, err := s.Rank.Decide(ctx, ballotFromWire(q.GetBallot()), q.GetIncarnation(), q.GetEpoch(), q.GetStep(), q.GetCommit())
+	return &wire.DecideResponse{State: stateToWire(st)}, toTwirp(err)
+}
+
+// Inspect implements wire.Ranks.
+func (s *Server) Inspect(ctx context.Context, q *wire.InspectRequest) (*wire.RankState, error) {
+	if err := s.check(q.GetGroup()); err != nil {
+		return nil, err
+	}
+	st, err := s.Rank.Inspect(ctx, ballotFromWire(q.GetBallot()))
+	return stateToWire(st), toTwirp(err)
+}
+
+// Switch implements wire.Ranks.
+func (s *Server) Switch(ctx context.Context, q *wire.SwitchRequest) (*wire.SwitchResponse, error) {
+	if err := s.check(q.GetGroup()); err != nil {
+		return nil, err
+	}
+	if s.Decider == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "only rank 0 switches")
+	}
+	if err := s.Decider.Switch(ctx, q.GetToken(), q.GetEpoch()); err != nil {
+		return nil, toTwirp(err)
+	}
+	return &wire.SwitchResponse{Committed: true}, nil
+}
+
+// Load implements wire.Ranks.
+func (s *Server) Load(ctx context.Context, q *wire.LoadRequest) (*wire.ExpertLoad, error) {
+	if err := s.check(q.GetGroup()); err != nil {
+		return nil, err
+	}
+	load, err := s.Rank.Load(ctx)
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	out := &wire.ExpertLoad{Layers: uint32(len(load))}
+	for _, row := range load {
+		out.Experts = append(out.Experts, row...)
+	}
+	return out, nil
+}
+
+// Client is a rank's agent over twirp. It implements core.Group.
+type Client struct {
+	group   string
+	key     string
+	timeout time.Duration
+	ranks   wire.Ranks
+}
+
+// NewClient returns a client of the agent at url. A call takes at most timeout,
+// and staging and switching as long as its context.
+func NewClient(url, group, key string, timeout time.Duration, c *http.Client) *Client {
+	return &Client{group: group, key: key, timeout: timeout, ranks: wire.NewRanksProtobufClient(url, c)}
+}
+
+func (c *Client) context(ctx context.Context) context.Context {
+	// It fails only for reserved headers.
+	out, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{KeyHeader: {c.key}})
+	if err != nil {
+		return ctx
+	}
+	return out
+}
+
+func (c *Client) limited(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.context(ctx), c.timeout)
+}
+
+// Inspect implements core.Group.
+func (c *Client) Inspect(ctx context.Context, b core.Ballot) (core.RankState, error) {
+	ctx, cancel := c.limited(ctx)
+	defer cancel()
+	s, err := c.ranks.Inspect(ctx, &wire.InspectRequest{Group: c.group, Ballot: ballotToWire(b)})
+	return stateFromWire(s), fromTwirp(err)
+}
+
+// Stage implements core.Group.
+func (c *Client) Stage(ctx context.Context, b core.Ballot, m *core.ExpertMap) (int, error) {
+	s, err := c.ranks.Stage(c.context(ctx), &wire.StageRequest{Group: c.group, Ballot: ballotToWire(b), Map: MapToWire(m)})
+	return int(s.GetMoved()), fromTwirp(err)
+}
+
+// Prepare implements core.Group.
+func (c *Client) Prepare(ctx context.Context, b core.Ballot, incarnation, epoch, step uint64) (core.RankState, error) {
+	ctx, cancel := c.limited(ctx)
+	defer cancel()
+	s, err := c.ranks.Prepare(ctx, &wire.PrepareRequest{
+		Group: c.group, Ballot: ballotToWire(b), Incarnation: incarnation, Epoch: epoch, Step: step,
+	})
+	return stateFromWire(s.GetState()), fromTwirp(err)
+}
+
+// Decide implements core.Group.
+func (c *Client) Decide(ctx context.Context, b core.Ballot, incarnation, epoch, step uint64, commit bool) (core.RankState, error) {
+	ctx, cancel := c.limited(ctx)
+	defer cancel()
+	s, err := c.ranks.Decide(ctx, &wire.DecideRequest{
+		Group: c.group, Ballot: ballotToWire(b), Incarnation: incarnation, Epoch: epoch, Step: step, Commit: commit,
+	})
+	return stateFromWire(s.GetState()), fromTwirp(err)
+}
+
+// Switch asks the decider; see Decider.Switch.
+func (c *Client) Switch(ctx context.Context, token, epoch uint64) error {
+	_, err := c.ranks.Switch(c.context(ctx), &wire.SwitchRequest{Group: c.group, Token: token, Epoch: epoch})
+	return fromTwirp(err)
+}
+
+// Load implements core.Group.
+func (c *Client) Load(ctx context.Context) (core.ExpertLoad, error) {
+	ctx, cancel := c.limited(ctx)
+	defer cancel()
+	w, err := c.ranks.Load(ctx, &wire.LoadRequest{Group: c.group})
+	if err != nil {
+		return nil, fromTwirp(err)
+	}
+	layers := int(w.GetLayers())
+	if layers == 0 || len(w.GetExperts())%layers != 0 {
+		return nil, trace.BadParameter("%d loads in %d layers", len(w.GetExperts()), layers)
+	}
+	n := len(w.GetExperts()) / layers
+	load := make(core.ExpertLoad, layers)
+	for l := range load {
+		load[l] = w.GetExperts()[l*n : (l+1)*n]
+	}
+	return load, nil
+}
+
+// MapToWire returns the wire form of a map.
+func MapToWire(m *core.ExpertMap) *wire.ExpertMap {
+	return &wire.ExpertMap{
+		Epoch: m.Epoch, Layers: uint32(m.Layers), Ranks: uint32(m.Ranks),
+		SlotsPerRank: uint32(m.SlotsPerRank), Experts: uint32(m.Experts), Slots: m.Slots,
+	}
+}
+
+// MapFromWire returns the map of a wire form; the caller checks it.
+func MapFromWire(w *wire.ExpertMap) *core.ExpertMap {
+	return &core.ExpertMap{
+		Epoch: w.GetEpoch(), Layers: int(w.GetLayers()), Ranks: int(w.GetRanks()),
+		SlotsPerRank: int(w.GetSlotsPerRank()), Experts: int(w.GetExperts()), Slots: w.GetSlots(),
+	}
+}
+
+func ballotToWire(b core.Ballot) *wire.Ballot { return &wire.Ballot{Token: b.Token, Number: b.Number} }
+
+func ballotFromWire(w *wire.Ballot) core.Ballot {
+	return core.Ballot{Token: w.GetToken(), Number: w.GetNumber()}
+}
+
+func stateToWire(s core.RankState) *wire.RankState {
+	return &wire.RankState{
+		Incarnation: s.Incarnation, Step: s.Step, ActiveEpoch: s.ActiveEpoch, Ballot: ballotToWire(s.Ballot),
+		PromisedEpoch: s.PromisedEpoch, PromisedStep: s.PromisedStep, Holding: s.Holding,
+		Committed: s.Committed, Staged: s.Staged,
+	}
+}
+
+func stateFromWire(w *wire.RankState) core.RankState {
+	return core.RankState{
+		Incarnation: w.GetIncarnation(), Step: w.GetStep(), ActiveEpoch: w.GetActiveEpoch(),
+		Ballot: ballotFromWire(w.GetBallot()), PromisedEpoch: w.GetPromisedEpoch(),
+		PromisedStep: w.GetPromisedStep(), Holding: w.GetHolding(), Committed: w.GetCommitted(), Staged: w.GetStaged(),
+	}
+}
+
+// toTwirp keeps the type of an error in the code that the peer gets.
+func toTwirp(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case trace.IsCompareFailed(err):
+		return twirp.NewError(twirp.FailedPrecondition, err.Error())
+	case trace.IsNotFound(err):
+		return twirp.NewError(twirp.NotFound, err.Error())
+	case trace.IsBadParameter(err):
+		return twirp.NewError(twirp.InvalidArgument, err.Error())
+	case trace.IsLimitExceeded(err):
+		return twirp.NewError(twirp.ResourceExhausted, err.Error())
+	}
+	return twirp.NewError(twirp.Unavailable, err.Error())
+}
+
+func fromTwirp(err error) error {
+	if err == nil {
+		return nil
+	}
+	te, ok := err.(twirp.Error)
+	if !ok {
+		return trace.ConnectionProblem(err, "call to peer failed")
+	}
+	switch te.Code() {
+	case twirp.FailedPrecondition:
+		return trace.CompareFailed("%s", te.Msg())
+	case twirp.NotFound:
+		return trace.NotFound("%s", te.Msg())
+	case twirp.InvalidArgument, twirp.Malformed:
+		return trace.BadParameter("%s", te.Msg())
+	case twirp.ResourceExhausted:
+		return trace.LimitExceeded("%s", te.Msg())
+	case twirp.Unauthenticated:
+		return trace.AccessDenied("%s", te.Msg())
+	}
+	return trace.ConnectionProblem(err, "call to peer failed")
+}
