commit: check reported switches and late replies in the model

Mutations that had passed: a decider that took replies of older ballots, and one that reported a commit before all ranks had accepted it. The model now records what was reported, half of the runs go on with the decider they have instead of a fresh one, and late promises have a test of their own. The rule for joining at the switch step itself was redundant (the mutation without it passed, since the rank then activates the committed switch at that step) and is removed.

--- a/core/version/commit/commit_test.go
+++ b/core/version/commit/commit_test.go
@@ -117,7 +117,8 @@
 				}
 			},
 		})
-		if rounds := w.settle(80); w.fault != "" || rounds < 0 {
+		fresh := rapid.Bool().Draw(t, "fresh")
+		if rounds := w.settle(80, fresh); w.fault != "" || rounds < 0 {
 			t.Fatalf("after the faults: %q, rounds %d, %+v", w.fault, rounds, w.engines)
 		}
 	})
@@ -209,7 +210,7 @@
 				ends++
 			}
 			if len(seen)%256 == 0 || len(stack) == moved {
-				if e := n.w.clone(); e.settle(60) < 0 || e.fault != "" {
+				if e := n.w.clone(); e.settle(60, len(seen)%2 == 0) < 0 || e.fault != "" {
 					t.Fatalf("does not go on: %q %+v", e.fault, e.engines)
 				}
 			}
@@ -218,6 +219,39 @@
 	}
 }
 
+// Guards against a late promise of an older ballot that counts for the current
+// one, which would commit a step that a rank has not promised.
+func TestLateRepliesAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(2)
+	w.ms = append(w.ms, newMachine(2, 1))
+	m := w.ms[0]
+	w.request(0, 3)
+	until := func(p phase, number uint64) {
+		for m.phase != p || m.ballot.Number != number {
+			for range len(w.orders) {
+				w.carryOut(0)
+			}
+			g.Expect(w.replies).NotTo(BeEmpty())
+			w.answer(0)
+		}
+	}
+	until(phasePrepare, 1)
+	var late []reply
+	for _, f := range w.orders {
+		late = append(late, reply{order: f.order, state: w.engines[f.order.rank].RankState})
+	}
+	w.orders = nil
+	m.on(reply{order: late[0].order, outcome: refused})
+	w.retry(0)
+	until(phasePrepare, 2)
+	for _, r := range late {
+		g.Expect(m.on(r)).To(BeEmpty())
+	}
+	g.Expect(m.phase).To(Equal(phasePrepare))
+	g.Expect(m.waiting).To(Equal([]bool{true, true}))
+}
+
 type rig struct {
 	w       *world
 	lock    chan struct{}
--- a/core/version/commit/machine.go
+++ b/core/version/commit/machine.go
@@ -259,11 +259,8 @@
 	if !some {
 		return m.next()
 	}
-	if m.pendingEpoch != 0 && m.pendingStep <= m.joinStep {
-		m.joinEpoch = m.pendingEpoch
-	}
 	if m.joinEpoch >= m.pendingEpoch {
-		m.pendingEpoch = 0 // active from the step at which the ranks join
+		m.pendingEpoch = 0 // active already
 	}
 	if m.joinEpoch == 0 {
 		// No rank runs: the group starts with the newest map staged on all.
--- a/core/version/commit/model_test.go
+++ b/core/version/commit/model_test.go
@@ -93,6 +93,8 @@
 	token   uint64
 	epoch   uint64
 	fault   string
+	// reported is the newest epoch that a decider has reported as committed.
+	reported uint64
 }
 
 type flight struct {
@@ -275,7 +277,12 @@
 func (w *world) answer(i int) {
 	f := w.replies[i]
 	w.replies = slices.Delete(slices.Clone(w.replies), i, i+1)
-	w.send(f.decider, w.ms[f.decider].on(f.reply))
+	m := w.ms[f.decider]
+	target := m.targetEpoch
+	w.send(f.decider, m.on(f.reply))
+	if target != 0 && m.targetEpoch == 0 && m.verdict == verdictCommitted {
+		w.reported = max(w.reported, target)
+	}
 }
 
 // timeout makes a decider take the order to a rank for lost. The order or its
@@ -362,19 +369,24 @@
 	return 0
 }
 
-// settle ends all faults: one new decider, the messages in flight are
-// delivered in order. It returns the number of rounds until every rank has
-// made more steps, or -1.
-func (w *world) settle(rounds int) int {
-	for _, m := range w.ms {
-		m.phase = phaseIdle // dead
+// settle ends all faults: only the newest decider goes on, or a fresh one, and
+// the messages in flight are delivered in order. It returns the number of rounds
+// until every rank has made more steps, or -1.
+func (w *world) settle(rounds int, fresh bool) int {
+	last := len(w.ms) - 1
+	for d, m := range w.ms {
+		if fresh || d != last {
+			m.phase = phaseIdle // dead
+		}
+	}
+	if fresh {
+		w.addDecider()
+		last++
 	}
-	w.addDecider()
 	var goal uint64
 	for _, e := range w.engines {
 		goal = max(goal, e.Step+6)
 	}
-	last := len(w.ms) - 1
 	for n := range rounds {
 		for range len(w.orders) {
 			w.carryOut(0)
@@ -383,12 +395,27 @@
 			w.answer(0)
 		}
 		w.retry(last)
-		done := true
+		done, poll := true, false
 		for r := range w.engines {
 			w.step(r)
+			if n%5 == 4 {
+				w.timeout(last, r)
+			}
 			done = done && w.engines[r].Step >= goal
+			poll = poll || w.engines[r].ActiveEpoch == 0 || w.engines[r].Holding
+		}
+		if poll && w.ms[last].phase == phaseIdle {
+			w.send(last, w.ms[last].start())
 		}
-		if done || w.fault != "" {
+		if w.fault != "" {
+			return n
+		}
+		if done {
+			for r, e := range w.engines {
+				if e.ActiveEpoch < w.reported && e.PromisedEpoch < w.reported {
+					w.fault = fmt.Sprintf("epoch %d was reported, rank %d runs %d", w.reported, r, e.ActiveEpoch)
+				}
+			}
 			return n
 		}
 	}
