--- a/core/process/lease/lease_test.go
+++ b/core/process/lease/lease_test.go
@@ -24,13 +24,12 @@
 // some lost writes later, and has outages.
 type store struct {
 	core.Store
-	mu       sync.Mutex
-	rng      *rand.Rand
-	faults   float64
-	down     bool
-	revision uint64
-	obj      core.Object // deleted or without a version if there is none
-	late     sync.WaitGroup
+	mu     sync.Mutex
+	rng    *rand.Rand
+	faults float64
+	down   bool
+	obj    core.Object // deleted or without a version if there is none
+	late   sync.WaitGroup
 }
 
 var errLost = trace.ConnectionProblem(nil, "answer lost")
@@ -66,7 +65,7 @@
 }
 
 // delay is mostly short and at times longer than the TTL: the process may be
-// paused before it sends a call or before it sees the answer.
+// paused before it sends a call, before it sees the answer, or in between.
 func (s *store) delay() time.Duration {
 	d := time.Duration(s.rng.IntN(20_000)) * time.Microsecond
 	if s.rng.Float64() < s.faults/3 {
@@ -77,11 +76,10 @@
 
 func (s *store) live() bool { return s.obj.Version != 0 && !s.obj.Deleted }
 
-func (s *store) put(obj core.Object) (core.Object, error) {
-	s.revision++
-	obj.Version = s.revision
+func (s *store) put(obj core.Object) core.Object {
+	obj.Version = s.obj.Version + 1
 	s.obj = obj
-	return obj, nil
+	return obj
 }
 
 func (s *store) Get(ctx context.Context, _ core.Key) (core.Object, error) {
@@ -98,7 +96,7 @@
 		if s.live() {
 			return core.Object{}, trace.AlreadyExists("lease exists")
 		}
-		return s.put(obj)
+		return s.put(obj), nil
 	})
 }
 
@@ -107,7 +105,7 @@
 		if !s.live() || s.obj.Version != obj.Version {
 			return core.Object{}, trace.CompareFailed("version differs")
 		}
-		return s.put(obj)
+		return s.put(obj), nil
 	})
 }
 
@@ -122,8 +120,7 @@
 	clock.Real
 	origin time.Time
 	rate   float64
-	rng    *rand.Rand
-	faults float64
+	store  *store
 }
 
 func (c *drifting) Now() time.Time {
@@ -132,9 +129,9 @@
 
 func (c *drifting) Sleep(ctx context.Context, d time.Duration) error {
 	d = time.Duration(float64(d) / c.rate)
-	if c.rng.Float64() < c.faults/3 {
-		d += time.Duration(c.rng.IntN(30_000)) * time.Millisecond
-	}
+	c.store.mu.Lock()
+	d += 2 * c.store.delay()
+	c.store.mu.Unlock()
 	return c.Real.Sleep(ctx, d)
 }
 
@@ -160,10 +157,7 @@
 	start := func(i int) {
 		l := &lease.Lease{
 			Store: s, Name: "group", Holder: fmt.Sprint("entry-", i), TTL: ttl,
-			Clock: &drifting{
-				origin: time.Now(), rate: 0.96 + 0.08*rng.Float64(),
-				rng: rand.New(rand.NewPCG(seed, rng.Uint64())), faults: faults,
-			},
+			Clock: &drifting{origin: time.Now(), rate: 0.96 + 0.08*rng.Float64(), store: s},
 		}
 		contenders[i] = contender{l, run(l)}
 	}
@@ -172,7 +166,6 @@
 	}
 	var top uint64
 	var holder *lease.Lease
-	terms := 0
 	watch := func(d time.Duration) error {
 		for range d / (10 * time.Millisecond) {
 			time.Sleep(10 * time.Millisecond)
@@ -186,9 +179,6 @@
 				if token < top || token == top && c.Lease != holder {
 					return fmt.Errorf("%s holds token %d after %d", c.Holder, token, top)
 				}
-				if token > top {
-					terms++
-				}
 				top, holder = token, c.Lease
 			}
 			if held > 1 {
@@ -197,11 +187,14 @@
 		}
 		return nil
 	}
+	set := func(down bool, faults float64) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.down, s.faults = down, faults
+	}
 	err := func() error {
 		for range steps {
-			s.mu.Lock()
-			s.down = rng.Float64() < faults
-			s.mu.Unlock()
+			set(rng.Float64() < faults, faults)
 			if i := rng.IntN(n); rng.Float64() < faults {
 				contenders[i].stop()
 				start(i)
@@ -210,14 +203,11 @@
 				return err
 			}
 		}
-		s.mu.Lock()
-		s.down, s.faults = false, 0
-		s.mu.Unlock()
-		before := terms
+		set(false, 0)
 		if err := watch(2 * time.Minute); err != nil {
 			return err
 		}
-		if holder == nil || terms == before && !holds(holder) {
+		if holder == nil || !holds(holder) {
 			return fmt.Errorf("nobody holds the lease after the faults")
 		}
 		return nil
@@ -278,26 +268,24 @@
 // Guards against a holder that goes on when it sees that its lease was removed
 // or written by another hand.
 func TestHolderNoticesLoss(t *testing.T) {
-	for name, deleted := range map[string]bool{"written": false, "removed": true} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := &store{rng: rand.New(rand.NewPCG(1, 1))}
-				l := &lease.Lease{Store: s, Name: "group", Holder: "a"}
-				defer run(l)()
-				time.Sleep(time.Second)
-				before, _ := l.Held()
-				s.mu.Lock()
-				_, _ = s.put(core.Object{Writer: "operator", Deleted: deleted})
-				s.mu.Unlock()
-				time.Sleep(ttl/4 + 100*time.Millisecond)
-				if holds(l) {
-					t.Fatal("still held")
-				}
-				time.Sleep(2 * ttl)
-				if after, ok := l.Held(); !ok || after <= before {
-					t.Fatalf("token %d after %d, %v", after, before, ok)
-				}
-			})
+	for _, deleted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &store{rng: rand.New(rand.NewPCG(1, 1))}
+			l := &lease.Lease{Store: s, Name: "group", Holder: "a"}
+			defer run(l)()
+			time.Sleep(time.Second)
+			before, _ := l.Held()
+			s.mu.Lock()
+			s.put(core.Object{Writer: "operator", Deleted: deleted})
+			s.mu.Unlock()
+			time.Sleep(ttl/4 + 100*time.Millisecond)
+			if holds(l) {
+				t.Fatal("still held; removed:", deleted)
+			}
+			time.Sleep(2 * ttl)
+			if after, ok := l.Held(); !ok || after <= before {
+				t.Fatalf("token %d after %d, %v; removed: %v", after, before, ok, deleted)
+			}
 		})
 	}
 }
--- a/core/process/spread/fabric_test.go
+++ b/core/process/spread/fabric_test.go
@@ -113,8 +113,9 @@
 	return last
 }
 
-// platform is the object API and the instance list as seen from a zone.
-type platform struct {
+// view is the platform and the network as seen from a zone. It implements
+// core.Store, core.Lister, spread.Peers and wire.HTTPClient.
+type view struct {
 	core.Store
 	*fleet
 	zone string
@@ -122,10 +123,10 @@
 
 var errDown = trace.ConnectionProblem(nil, "platform is down")
 
-func (p platform) lost() bool { return p.down || p.apart[p.zone] || p.cut[p.zone] }
+func (p view) lost() bool { return p.down || p.apart[p.zone] || p.cut[p.zone] }
 
 // List sometimes answers from the past, as a lagging replica does.
-func (p platform) List(context.Context, ...core.Kind) ([]core.Object, uint64, error) {
+func (p view) List(context.Context, ...core.Kind) ([]core.Object, uint64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reads++
@@ -140,17 +141,15 @@
 	return slices.DeleteFunc(objects, func(obj core.Object) bool { return obj.Deleted }), uint64(revision), nil
 }
 
-func (p platform) Watch(ctx context.Context, from uint64, _ ...core.Kind) ([]core.Object, error) {
+func (p view) Watch(ctx context.Context, from uint64, _ ...core.Kind) ([]core.Object, error) {
 	timeout := time.After(20 * time.Second)
-	for call := 0; ; call++ {
+	p.set(func() { p.reads++ })
+	for {
 		p.mu.Lock()
 		lost, changed, news := p.lost(), p.changed, slices.Clone(p.log[min(int(from), len(p.log)):])
 		if p.deaf {
 			news = nil
 		}
-		if call == 0 {
-			p.reads++
-		}
 		p.mu.Unlock()
 		if lost {
 			return nil, errDown
@@ -168,7 +167,7 @@
 	}
 }
 
-func (p platform) Instances(context.Context) ([]core.Instance, uint64, error) {
+func (p view) Instances(context.Context) ([]core.Instance, uint64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reads++
@@ -178,44 +177,36 @@
 	return slices.Clone(p.list), 1, nil
 }
 
-// link is the network as seen from a node.
-type link struct {
-	*fleet
-	zone string
+func (p view) Peer(addr netip.AddrPort) wire.Config {
+	return wire.NewConfigProtobufClient("http://"+addr.String(), p)
 }
 
-// Peer implements spread.Peers.
-func (l link) Peer(addr netip.AddrPort) wire.Config {
-	return wire.NewConfigProtobufClient("http://"+addr.String(), l)
-}
-
-// Do implements wire.HTTPClient. It loses, delays and repeats messages.
-func (l link) Do(req *http.Request) (*http.Response, error) {
+// Do loses, delays and repeats messages.
+func (p view) Do(req *http.Request) (*http.Response, error) {
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return nil, err
 	}
 	push, to := strings.HasSuffix(req.URL.Path, "/Push"), zoneOf(req.URL.Host)
-	l.mu.Lock()
-	lost := l.zone != to && (l.cut[l.zone] || l.cut[to]) || push && l.noPush || l.mute[l.zone] || l.luck.Float64() < l.loss
-	lostAnswer, twice := l.luck.Float64() < l.loss, l.luck.Float64() < l.loss
-	delay := time.Duration(l.luck.IntN(5000)) * time.Microsecond
-	handler := l.handlers[req.URL.Host]
-	// The header has no Clone of the body; replays read it anew.
+	p.mu.Lock()
+	lost := p.zone != to && (p.cut[p.zone] || p.cut[to]) || push && p.noPush || p.mute[p.zone] || p.luck.Float64() < p.loss
+	lostAnswer, twice := p.luck.Float64() < p.loss, p.luck.Float64() < p.loss
+	delay := time.Duration(p.luck.IntN(5000)) * time.Microsecond
+	handler := p.handlers[req.URL.Host]
 	req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
-	if push && len(l.pushes) < 2000 {
-		l.pushes = append(l.pushes, req)
+	if push && len(p.pushes) < 2000 {
+		p.pushes = append(p.pushes, req)
 	}
-	l.mu.Unlock()
+	p.mu.Unlock()
 	if !lost && handler != nil {
 		time.Sleep(delay)
-		resp := deliver(handler, req)
+		resp := deliver(handler, req, key)
 		if twice {
-			resp = deliver(handler, req)
+			resp = deliver(handler, req, key)
 		}
-		l.mu.Lock()
-		l.largest = max(l.largest, len(body), int(resp.ContentLength))
-		l.mu.Unlock()
+		p.mu.Lock()
+		p.largest = max(p.largest, len(body), int(resp.ContentLength))
+		p.mu.Unlock()
 		if !lostAnswer {
 			return resp, nil
 		}
@@ -231,15 +222,15 @@
 	if len(f.pushes) > 0 {
 		req := f.pushes[f.luck.IntN(len(f.pushes))].WithContext(context.Background())
 		if handler := f.handlers[req.URL.Host]; handler != nil {
-			go deliver(handler, req)
+			go deliver(handler, req, key)
 		}
 	}
 }
 
-func deliver(handler http.Handler, req *http.Request) *http.Response {
+func deliver(handler http.Handler, req *http.Request, sent string) *http.Response {
 	again := req.Clone(req.Context())
 	again.Body, _ = req.GetBody()
-	again.Header.Set(spread.PeerKeyHeader, key)
+	again.Header.Set(spread.PeerKeyHeader, sent)
 	rec := httptest.NewRecorder()
 	handler.ServeHTTP(rec, again)
 	return rec.Result()
@@ -247,10 +238,9 @@
 
 func (f *fleet) start(inst core.Instance) {
 	f.incarnation++
-	p := platform{fleet: f, zone: inst.Zone}
+	v := view{fleet: f, zone: inst.Zone}
 	n := &spread.Node{
-		Self: inst, Store: p, Lister: p, Seeds: f.seeds, Peers: link{f, inst.Zone}, Key: key, Incarnation: f.incarnation,
-		MaxMessage: f.message,
+		Self: inst, Store: v, Lister: v, Peers: v, Seeds: f.seeds, Key: key, Incarnation: f.incarnation, MaxMessage: f.message,
 	}
 	if see := f.onChange; see != nil {
 		n.OnChange = func(objects []core.Object) {
--- a/core/process/spread/node_test.go
+++ b/core/process/spread/node_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -109,35 +108,48 @@
 
 // Guards against a path of changes that works only because another one makes
 // up for it. The limits follow from the paths: pushes take a few network
-// delays, anti-entropy some seconds, and a relist comes every 60 s.
+// delays, anti-entropy some seconds, and a relist comes every 60 s. Where
+// healing is given, nothing can arrive before it.
 func TestEachPathAloneIsEnough(t *testing.T) {
 	for name, tc := range map[string]struct {
-		fault func(f *fleet)
-		limit time.Duration
+		fault, heal func(f *fleet, zone string)
+		limit       time.Duration
 	}{
-		"push":          {func(*fleet) {}, 150 * time.Millisecond},
-		"pass on":       {func(f *fleet) { f.apart[f.list[0].Zone] = true }, 150 * time.Millisecond},
-		"anti-entropy":  {func(f *fleet) { f.noPush = true; f.apart[f.list[0].Zone] = true }, 10 * time.Second},
-		"relist":        {func(f *fleet) { f.deaf = true }, 70 * time.Second},
-		"zone cut off":  {func(f *fleet) { f.noPush = true; f.cut[f.list[0].Zone] = true }, 0},
-		"store is down": {func(f *fleet) { f.down = true }, 0},
+		"push":    {func(*fleet, string) {}, nil, 150 * time.Millisecond},
+		"pass on": {func(f *fleet, zone string) { f.apart[zone] = true }, nil, 150 * time.Millisecond},
+		"exchange": {
+			func(f *fleet, zone string) { f.noPush, f.apart[zone] = true, true }, nil, 10 * time.Second,
+		},
+		"exchange when only asked": {
+			func(f *fleet, zone string) { f.cut[zone] = true },
+			func(f *fleet, zone string) { f.cut[zone], f.apart[zone], f.mute[zone] = false, true, true },
+			20 * time.Second,
+		},
+		"relist": {func(f *fleet, _ string) { f.deaf = true }, nil, 70 * time.Second},
+		"zone was cut off": {
+			func(f *fleet, zone string) { f.noPush, f.cut[zone] = true, true },
+			func(f *fleet, zone string) { f.cut[zone] = false }, 5 * time.Second,
+		},
+		"store was down": {
+			func(f *fleet, _ string) { f.down = true },
+			func(f *fleet, _ string) { f.down = false }, 5 * time.Second,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, 3, 2, func(t *testing.T, f *fleet) {
-				f.set(func() { tc.fault(f) })
+				zone := f.list[0].Zone
+				f.set(func() { tc.fault(f, zone) })
 				must(t, f.run(time.Second))
 				f.write(team(3), false)
 				f.write(team(4), true)
-				limit := tc.limit
-				if limit == 0 { // nothing can arrive until the fault ends
+				if tc.heal != nil {
 					must(t, f.run(time.Minute))
 					if f.converged() == nil {
 						t.Fatal("converged through a fault that cuts all paths")
 					}
-					f.set(func() { f.down = false; clear(f.cut) })
-					limit = 5 * time.Second
+					f.set(func() { tc.heal(f, zone) })
 				}
-				took, err := f.within(limit)
+				took, err := f.within(tc.limit)
 				must(t, err)
 				t.Log("took", took)
 			})
@@ -192,20 +204,6 @@
 	})
 }
 
-// Guards against exchanges that only fetch: nodes that missed a change and
-// cannot ask for it get it from those that ask them.
-func TestExchangeGoesBothWays(t *testing.T) {
-	withFleet(t, 3, 2, func(t *testing.T, f *fleet) {
-		zone := f.list[0].Zone
-		f.set(func() { f.cut[zone] = true })
-		f.write(team(3), false)
-		must(t, f.run(5*time.Second))
-		f.set(func() { f.cut[zone], f.apart[zone], f.mute[zone] = false, true, true })
-		_, err := f.within(20 * time.Second)
-		must(t, err)
-	})
-}
-
 // Guards against nodes that take themselves as synced with nothing, and
 // against a fleet that does not come back once the store does.
 func TestRestartOfAllWhileStoreIsDown(t *testing.T) {
@@ -273,12 +271,9 @@
 // post calls a method of a node's Config service.
 func post(n *spread.Node, sent, method string, msg proto.Message) int {
 	body, _ := proto.Marshal(msg)
-	req := httptest.NewRequest(http.MethodPost, wire.ConfigPathPrefix+method, bytes.NewReader(body))
+	req, _ := http.NewRequest(http.MethodPost, wire.ConfigPathPrefix+method, bytes.NewReader(body))
 	req.Header.Set("Content-Type", "application/protobuf")
-	req.Header.Set(spread.PeerKeyHeader, sent)
-	rec := httptest.NewRecorder()
-	n.Handler().ServeHTTP(rec, req)
-	return rec.Code
+	return deliver(n.Handler(), req, sent).StatusCode
 }
 
 // Guards against calls without the peer key.
--- a/core/version/objset/set_test.go
+++ b/core/version/objset/set_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,9 +21,7 @@
 )
 
 // history is a run of a store: every write has its own revision.
-type history struct {
-	writes []core.Object
-}
+type history []core.Object
 
 func drawHistory(t *rapid.T) history {
 	var h history
@@ -39,7 +39,7 @@
 			obj.Value = fmt.Append(nil, v)
 		}
 		live[key] = !obj.Deleted
-		h.writes = append(h.writes, obj)
+		h = append(h, obj)
 	}
 	return h
 }
@@ -47,18 +47,13 @@
 // at returns the live objects at a revision.
 func (h history) at(revision uint64) []core.Object {
 	last := map[core.Key]core.Object{}
-	for _, obj := range h.writes {
+	for _, obj := range h {
 		if obj.Version <= revision {
 			last[obj.Key] = obj
 		}
 	}
-	var objects []core.Object
-	for _, obj := range last {
-		if !obj.Deleted {
-			objects = append(objects, obj)
-		}
-	}
-	return objects
+	live := slices.Collect(maps.Values(last))
+	return slices.DeleteFunc(live, func(obj core.Object) bool { return obj.Deleted })
 }
 
 func state(objects []core.Object) map[core.Key]core.Object {
@@ -75,11 +70,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		h := drawHistory(t)
 		var a, b objset.Set
-		for _, obj := range h.writes {
+		for _, obj := range h {
 			a.Take(obj)
 		}
-		messages := append(append([]core.Object(nil), h.writes...),
-			rapid.SliceOfN(rapid.SampledFrom(h.writes), 0, 20).Draw(t, "duplicates")...)
+		messages := append(append([]core.Object(nil), h...),
+			rapid.SliceOfN(rapid.SampledFrom(h), 0, 20).Draw(t, "duplicates")...)
 		for _, obj := range rapid.Permutation(messages).Draw(t, "order") {
 			b.Take(obj)
 			b.Snapshot()
@@ -103,7 +98,7 @@
 func TestVersionsNeverFall(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := drawHistory(t)
-		top := uint64(len(h.writes))
+		top := uint64(len(h))
 		final := state(h.at(top))
 		complete := uint64(0)
 		var s objset.Set
@@ -121,7 +116,7 @@
 					}
 				}
 			} else {
-				s.Take(rapid.SampledFrom(h.writes).Draw(t, "object"))
+				s.Take(rapid.SampledFrom(h).Draw(t, "object"))
 			}
 			for key, obj := range frozen {
 				now, _ := s.Get(key)
@@ -172,10 +167,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		h := drawHistory(t)
 		var s, live objset.Set
-		for _, obj := range h.writes {
+		for _, obj := range h {
 			s.Take(obj)
 		}
-		for _, obj := range h.at(uint64(len(h.writes))) {
+		for _, obj := range h.at(uint64(len(h))) {
 			live.Take(obj)
 		}
 		if s.Prune(epoch.Add(objset.Retention)) != 0 {
@@ -207,54 +202,36 @@
 	return objs
 }
 
-func BenchmarkFill10000(b *testing.B) {
+// Benchmark shows the cost of one node's configuration of 10,000 objects.
+func Benchmark(b *testing.B) {
 	objs := objects(10_000)
-	b.ReportAllocs()
-	for b.Loop() {
-		var s objset.Set
-		for _, obj := range objs {
-			s.Take(obj)
-		}
-	}
-}
-
-func BenchmarkTakeAndSnapshot10000(b *testing.B) {
-	objs := objects(10_000)
-	var s objset.Set
+	var full objset.Set
 	for _, obj := range objs {
-		s.Take(obj)
-	}
-	v := uint64(len(objs))
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		v++
-		obj := objs[i%len(objs)]
-		obj.Version = v
-		s.Take(obj)
-		s.Snapshot()
+		full.Take(obj)
 	}
-}
-
-func BenchmarkDigests10000(b *testing.B) {
-	var s objset.Set
-	for _, obj := range objects(10_000) {
-		s.Take(obj)
-	}
-	snap := s.Snapshot()
-	b.ReportAllocs()
-	for b.Loop() {
-		_, _ = snap.Total(), snap.Digests()
-	}
-}
-
-func BenchmarkRelist10000(b *testing.B) {
-	objs := objects(10_000)
-	var s objset.Set
-	for _, obj := range objs {
-		s.Take(obj)
-	}
-	b.ReportAllocs()
-	for b.Loop() {
-		s.Relist(objs, uint64(len(objs)), kinds, epoch)
+	version := uint64(len(objs))
+	for name, f := range map[string]func(i int){
+		"Fill": func(int) {
+			var s objset.Set
+			for _, obj := range objs {
+				s.Take(obj)
+			}
+		},
+		"TakeAndSnapshot": func(i int) {
+			version++
+			obj := objs[i%len(objs)]
+			obj.Version = version
+			full.Take(obj)
+			full.Snapshot()
+		},
+		"Digests": func(int) { _, _ = full.Total(), full.Digests() },
+		"Relist":  func(int) { full.Relist(objs, uint64(len(objs)), kinds, epoch) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				f(i)
+			}
+		})
 	}
 }
