--- a/core/process/spread/node.go
+++ b/core/process/spread/node.go
@@ -32,7 +32,8 @@
 	Store core.Store
 	// Lister may be nil; the node then knows instances only from its peers.
 	Lister core.Lister
-	// Clock defaults to the machine's clock.
+	// Clock defaults to the machine's clock. Time limits of calls always follow
+	// the machine's clock.
 	Clock core.Clock
 	// Seeds are peers to ask while the instance list is unknown or its
 	// instances do not answer.
@@ -62,7 +63,7 @@
 	// default 2 s.
 	RosterPeriod time.Duration
 	// RosterStale is the time without news of the instance list after which a
-	// node reads it itself; default 10 s.
+	// node reads it itself, and bounds each read; default 10 s.
 	RosterStale time.Duration
 	// ExchangePeriod is the time between exchanges of digests; default 1 s.
 	ExchangePeriod time.Duration
@@ -71,7 +72,8 @@
 	WatchSpacing time.Duration
 	// CallTimeout bounds a call to a peer; default 1 s.
 	CallTimeout time.Duration
-	// StoreTimeout bounds a list at the store or lister; default 10 s.
+	// StoreTimeout bounds a list at the store, which takes many calls when the
+	// configuration is large and the store slow; default 30 s.
 	StoreTimeout time.Duration
 	// WatchTimeout bounds a watch call; default 60 s.
 	WatchTimeout time.Duration
@@ -122,7 +124,7 @@
 		def(&n.ExchangePeriod, time.Second)
 		def(&n.WatchSpacing, 100*time.Millisecond)
 		def(&n.CallTimeout, time.Second)
-		def(&n.StoreTimeout, 10*time.Second)
+		def(&n.StoreTimeout, 30*time.Second)
 		def(&n.WatchTimeout, time.Minute)
 		if n.MaxMessage <= 0 {
 			n.MaxMessage = 1 << 20
--- a/core/process/spread/watch.go
+++ b/core/process/spread/watch.go
@@ -155,7 +155,7 @@
 }
 
 func (n *Node) readRoster(ctx context.Context) error {
-	lctx, cancel := context.WithTimeout(ctx, n.StoreTimeout)
+	lctx, cancel := context.WithTimeout(ctx, n.RosterStale)
 	defer cancel()
 	instances, revision, err := n.Lister.Instances(lctx)
 	if err != nil {
