Give instances that the list marks as leaving no new work

Cause: the flag Leaving of the instance list reached each instance, but only the choice of watchers used it. Neither the agent drained nor did entries stop picking it, so an announced end showed only when SIGTERM came.

Change: an agent that is listed as leaving at its own address refuses new requests (draining, run: no), reports no credit, and finishes its work in flight; the list can take this back. Entries leave out upstreams whose agent's address belongs to leaving instances only.

--- a/agent/serve/agent.go
+++ b/agent/serve/agent.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -143,7 +144,7 @@
 	return &engine.Engine{Addr: s.Address}
 }
 
-// configure sets the gate from the objects in force.
+// configure sets the gate from the objects and the instance list in force.
 func (a *Agent) configure([]core.Object) {
 	table, errs := a.rules.Compile(a.node.Objects())
 	for _, err := range errs {
@@ -153,7 +154,17 @@
 	if u == nil {
 		return
 	}
-	a.gate.Configure(ramp.Config{Limit: u.Limit, Cold: u.Cold, Step: u.Step, Share: u.Share, Out: u.Out})
+	a.gate.Configure(ramp.Config{
+		Limit: u.Limit, Cold: u.Cold, Step: u.Step, Share: u.Share, Out: u.Out, Leaving: a.leaving(),
+	})
+}
+
+// leaving reports whether the platform lists this instance as leaving. An
+// instance of the same name at another address is a predecessor.
+func (a *Agent) leaving() bool {
+	return slices.ContainsFunc(a.node.Instances(), func(in core.Instance) bool {
+		return in.Name == a.Settings.Instance && in.Peer == a.Settings.Listen && in.Leaving
+	})
 }
 
 func (a *Agent) app() *fiber.App {
--- a/core/process/ramp/gate.go
+++ b/core/process/ramp/gate.go
@@ -25,6 +25,9 @@
 	Share float64
 	// Out is set if operators have taken the upstream or its zone out.
 	Out bool
+	// Leaving is set while the platform lists the agent's instance as leaving.
+	// It refuses new requests as Drain does, but it can be taken back.
+	Leaving bool
 }
 
 // Gate admits requests to one upstream. It starts cold, and it refuses all
@@ -105,7 +108,7 @@
 	switch {
 	case !g.configured:
 		return core.Refuse(core.ReasonNotReady, "the agent has no configuration of its upstream yet")
-	case g.draining:
+	case g.draining || g.cfg.Leaving:
 		return core.Refuse(core.ReasonDraining, "the upstream is draining")
 	case g.cfg.Out:
 		return core.Refuse(core.ReasonUpstreamOut, "the upstream is out")
@@ -137,7 +140,7 @@
 
 // limit returns the limit in force. The admitted share never takes it below 1.
 func (g *Gate) limit() int {
-	if !g.configured || g.draining || g.cfg.Out {
+	if !g.configured || g.draining || g.cfg.Leaving || g.cfg.Out {
 		return 0
 	}
 	return max(1, min(g.warm.limit, int(g.cfg.Share*float64(g.cfg.Limit))))
@@ -177,7 +180,7 @@
 		Inflight:    g.inflight,
 		Limit:       g.limit(),
 		ServiceTime: g.warm.baseline,
-		Draining:    g.draining,
+		Draining:    g.draining || g.cfg.Leaving,
 		Incarnation: g.Incarnation,
 		At:          now,
 	}
@@ -194,11 +197,12 @@
 	return load
 }
 
-// Ready reports whether the gate is configured and not draining.
+// Ready reports whether the gate is configured and neither draining nor
+// leaving.
 func (g *Gate) Ready() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.configured && !g.draining
+	return g.configured && !g.draining && !g.cfg.Leaving
 }
 
 // Cool returns the upstream to cold at once.
--- a/core/process/ramp/gate_test.go
+++ b/core/process/ramp/gate_test.go
@@ -172,3 +172,25 @@
 	s.Release(false)
 	<-idle
 }
+
+// Guards against new work for an upstream whose instance is listed as leaving,
+// and against an upstream that stays closed when the list takes that back.
+func TestGateRefusesWhileLeaving(t *testing.T) {
+	cfg := ramp.Config{Limit: 4, Cold: 2, Step: 1}
+	g, _ := newGate(cfg)
+	held, _ := g.Acquire("e")
+	cfg.Leaving = true
+	g.Configure(cfg)
+	if _, refusal := g.Acquire("e"); refusal == nil || refusal.Reason != core.ReasonDraining || refusal.Run != core.RunNo {
+		t.Fatalf("refusal %v while leaving", refusal)
+	}
+	if load := g.Load("e"); !load.Draining || load.Credit != 0 || load.Limit != 0 || load.Inflight != 1 {
+		t.Fatalf("load %+v while leaving", load)
+	}
+	held.Release(false)
+	cfg.Leaving = false
+	g.Configure(cfg)
+	if slots := fill(g); len(slots) != 2 {
+		t.Fatalf("%d requests admitted after leaving was taken back", len(slots))
+	}
+}
--- a/entry/flow/router.go
+++ b/entry/flow/router.go
@@ -55,6 +55,8 @@
 	mu      sync.Mutex
 	queues  map[string]*admit.Queue
 	subsets map[string]subset
+	// leaving holds the agents whose instances the platform lists as leaving.
+	leaving map[netip.AddrPort]bool
 }
 
 // subset caches the upstreams that the entry uses for a service at one version
@@ -119,23 +121,43 @@
 	if r.subsets == nil {
 		r.subsets = map[string]subset{}
 	}
-	chosen := picker.Subset(s.Name, r.Self.Name, r.Self.Zone, usable(s), r.Subset)
+	chosen := picker.Subset(s.Name, r.Self.Name, r.Self.Zone, r.usable(s), r.Subset)
 	r.subsets[s.Name] = subset{state: s, upstreams: chosen}
 	return chosen
 }
 
-// usable leaves out upstreams that operators have taken out, so that they do
-// not use up places of the subset.
-func usable(s *core.ServiceState) []*core.UpstreamState {
+// usable leaves out upstreams that operators have taken out and those that are
+// leaving, so that they do not use up places of the subset.
+func (r *Router) usable(s *core.ServiceState) []*core.UpstreamState {
 	var out []*core.UpstreamState
 	for _, u := range s.Upstreams {
-		if !u.Out && (s.Routed == nil || s.Routed[u.Name]) {
+		if !u.Out && !r.leaving[u.Agent] && (s.Routed == nil || s.Routed[u.Name]) {
 			out = append(out, u)
 		}
 	}
 	return out
 }
 
+// List takes the instance list: agents that are leaving get no new requests. An
+// address that also belongs to an instance that stays is that of a successor.
+func (r *Router) List(instances []core.Instance) {
+	leaving := map[netip.AddrPort]bool{}
+	for _, in := range instances {
+		if in.Role == core.RoleAgent && in.Leaving {
+			leaving[in.Peer] = true
+		}
+	}
+	for _, in := range instances {
+		if !in.Leaving {
+			delete(leaving, in.Peer)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = leaving
+	r.subsets = nil
+}
+
 // Apply takes a new table: limits, budgets and queue lengths.
 func (r *Router) Apply(t *core.Table, entries int) {
 	r.Limiter.Update(t, entries)
--- a/entry/serve/entry.go
+++ b/entry/serve/entry.go
@@ -169,6 +169,7 @@
 	entries := lo.CountBy(e.node.Instances(), func(i core.Instance) bool {
 		return i.Role == core.RoleEntry && !i.Leaving
 	})
+	e.router.List(e.node.Instances())
 	e.table.Store(table)
 	e.router.Apply(table, max(entries, 1))
 }
