--- a/fakes/system/load_test.go
+++ b/fakes/system/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -16,6 +17,10 @@
 	"parsleyroute.example/fakes/process/load"
 )
 
+// errDiffers is the error of an answer that looks whole but is not the answer
+// to its request.
+var errDiffers = errors.New("the answer looks whole but has other bytes")
+
 // sample is one request of a loader.
 type sample struct {
 	result
@@ -26,6 +31,12 @@
 
 func (s sample) ok() bool { return s.err == nil && s.status == 200 }
 
+// at reports whether the request was in flight at the time. The slack covers a
+// caller that had chosen its entry just before.
+func (s sample) at(t time.Time) bool {
+	return s.start.Before(t.Add(50*time.Millisecond)) && s.end.After(t)
+}
+
 // loader is a closed loop of callers that spread their requests over the open
 // entries.
 type loader struct {
@@ -82,6 +93,14 @@
 	return l.samples
 }
 
+// expectExact checks that no answer that looks whole has other bytes.
+func expectExact(samples []sample) {
+	GinkgoHelper()
+	for _, s := range samples {
+		Expect(errors.Is(s.err, errDiffers)).To(BeFalse(), "%s: %v", s.id, s.err)
+	}
+}
+
 // failures describes the samples that failed.
 func failures(samples []sample) []string {
 	var out []string
@@ -102,7 +121,7 @@
 		headers: map[string]string{"X-Request-Id": id},
 	})
 	if want := answer.Of([]byte(body), "", id).JSON(tokens); r.err == nil && r.status == 200 && !bytes.Equal(r.body, want) {
-		r.err = fmt.Errorf("answer of %d bytes differs from the %d bytes of this request", len(r.body), len(want))
+		r.err = fmt.Errorf("%w: %d instead of %d", errDiffers, len(r.body), len(want))
 	}
 	return r
 }
--- a/fakes/system/path_test.go
+++ b/fakes/system/path_test.go
@@ -26,7 +26,7 @@
 	if r.err == nil && r.status == 200 {
 		want := answer.Of([]byte(body), "", id).Whole(tokens)
 		if !bytes.Equal(r.body, want) {
-			r.err = fmt.Errorf("answer of %d bytes differs from the %d bytes of this request", len(r.body), len(want))
+			r.err = fmt.Errorf("%w: %d instead of %d", errDiffers, len(r.body), len(want))
 		}
 	}
 	return r
