--- /dev/null
+++ b/fakes/system/config_test.go
@@ -0,0 +1,302 @@
+package system_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/admin"
+	"parsleyroute.example/fakes/process/objsrv"
+)
+
+// inForceWithin is the limit for an accepted configuration to be in force
+// everywhere.
+const inForceWithin = 10 * time.Second
+
+// faults changes the fault state of the platform.
+func (c *cluster) faults(change map[string]any) {
+	GinkgoHelper()
+	c.control(c.platAddr, http.MethodPut, "/control/faults", change)
+}
+
+func (c *cluster) platformStats() objsrv.Stats {
+	var s objsrv.Stats
+	c.stats(c.platAddr, "/control/stats", &s)
+	return s
+}
+
+// applied is the outcome of a parsley apply.
+type applied struct {
+	code    int
+	output  string
+	results []admin.Written
+}
+
+// parsleyApply runs the command line on the declarations.
+func (c *cluster) parsleyApply(e *node, text string) applied {
+	GinkgoHelper()
+	path := filepath.Join(c.dir, "apply.toml")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	cmd := exec.Command("../../.out/bin/parsley", "--entry", e.listen.String(), "--key", operatorKey, "-o", "json", "apply", path)
+	cmd.Env = append(os.Environ(), "PARSLEY_CONFIG=")
+	out, err := cmd.Output()
+	a := applied{output: string(out)}
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		a.code = exit.ExitCode()
+		a.output += string(exit.Stderr)
+	} else {
+		Expect(err).NotTo(HaveOccurred())
+	}
+	var answer struct{ Results []admin.Written }
+	if len(out) > 0 {
+		Expect(json.Unmarshal(out, &answer)).To(Succeed(), a.output)
+	}
+	a.results = answer.Results
+	return a
+}
+
+// expectAppliedOnce checks that apply created the zone by a single write and
+// reported its version.
+func (c *cluster) expectAppliedOnce(a applied, zone string, before uint64) {
+	GinkgoHelper()
+	Expect(a.code).To(BeZero(), a.output)
+	o, err := c.store.Get(context.Background(), core.Key{Kind: core.KindZone, Name: zone})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(a.results).To(HaveLen(1))
+	Expect(a.results[0].Result).To(Equal(admin.ResultCreated))
+	Expect(a.results[0].Version).To(Equal(o.Version))
+	Expect(c.platformStats().Revision).To(Equal(before+1), "writes that took effect")
+}
+
+// put writes a zone's region on condition of its version.
+func (c *cluster) put(e *node, key, zone, region string, version uint64) (admin.Written, int, admin.FailureDetail) {
+	GinkgoHelper()
+	var w admin.Written
+	status, failure := c.operate(e, key, http.MethodPut, fmt.Sprintf("/objects/zone/%s?version=%d", zone, version),
+		fmt.Sprintf("[[zone]]\nname = %q\nregion = %q\n", zone, region), &w)
+	return w, status, failure
+}
+
+var _ = Describe("configuration under faults", func() {
+	// Guards against a change that overwrites another one unseen.
+	It("lets one of two racing operators win and tells the other what happened", func() {
+		c := newCluster(shape{zones: []string{"a", "b"}, entries: 1, limit: 1})
+		operators := []struct{ name, key string }{{"test", operatorKey}, {"rival", rivalKey}}
+		o, err := c.store.Get(context.Background(), core.Key{Kind: core.KindZone, Name: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		version := o.Version
+		for round := range 20 {
+			var written [2]admin.Written
+			var statuses [2]int
+			var refused [2]admin.FailureDetail
+			var wg sync.WaitGroup
+			for i, op := range operators {
+				wg.Go(func() {
+					defer GinkgoRecover()
+					written[i], statuses[i], refused[i] = c.put(c.entries[i], op.key, "a", fmt.Sprintf("%s-%d", op.name, round), version)
+				})
+			}
+			wg.Wait()
+			Expect(statuses).To(ConsistOf(200, 409), "round %d: %v", round, refused)
+			won := 0
+			if statuses[1] == 200 {
+				won = 1
+			}
+			version = written[won].Version
+			conflict := refused[1-won].Conflict
+			Expect(conflict).NotTo(BeNil())
+			Expect(conflict.Version).To(Equal(version))
+			Expect(conflict.Writer).To(Equal(operators[won].name))
+			Expect(conflict.Fields).To(ConsistOf("region"))
+			Expect(refused[1-won].Run).To(Equal(core.RunNo))
+			o, err := c.store.Get(context.Background(), core.Key{Kind: core.KindZone, Name: "a"})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(o.Version).To(Equal(version))
+			Expect(string(o.Value)).To(ContainSubstring("%s-%d", operators[won].name, round))
+		}
+	})
+
+	// Guards against a configuration that is lost, or a system that does not
+	// start, when everything restarts while the store is down.
+	It("survives a restart of everything while the store is down", func() {
+		c := newCluster(shape{zones: []string{"a", "b"}, entries: 2, engines: 1, limit: 4, cold: 2, seeds: true})
+		last := c.entries[len(c.entries)-1]
+		change, status, failure := c.put(c.entries[0], operatorKey, "a", "changed", c.versionOfZone("a"))
+		Expect(status).To(Equal(200), failure.Message)
+		ref := admin.Ref{Kind: change.Kind, Name: change.Name, Version: change.Version}
+		Eventually(func() bool { return c.inForce(last, ref).InForce }, inForceWithin, "50ms").Should(BeTrue())
+		c.faults(map[string]any{"outage": true, "list_outage": true})
+		nodes := append(append([]*node{}, c.entries[:len(c.entries)-1]...), c.agents...)
+		for _, n := range nodes {
+			n.kill()
+		}
+		for _, n := range nodes {
+			n.start(c.dir)
+		}
+		c.waitReady()
+		last.kill()
+		last.start(c.dir)
+		c.waitReady()
+		Eventually(func() []string {
+			s := c.inForce(last, ref)
+			if len(s.Instances) != len(nodes)+1 {
+				return []string{"instances missing"}
+			}
+			return append(s.Behind, s.Unreachable...)
+		}, inForceWithin, "50ms").Should(BeEmpty())
+		for i, e := range c.entries {
+			r := c.stream(e, fmt.Sprintf("s-%d", i), 8)
+			Expect(r.err).NotTo(HaveOccurred())
+			Expect(r.status).To(Equal(200), string(r.body))
+		}
+	})
+
+	// Guards against changes that are applied twice, or reported as applied or
+	// refused when they are not.
+	It("applies a change once and reports it right when the store fails in between", func() {
+		c := newCluster(shape{zones: []string{"a"}, entries: 1, limit: 1})
+		e := c.entries[0]
+		apply := func(zone string, meanwhile func()) (applied, uint64) {
+			before := c.platformStats()
+			done := make(chan applied)
+			go func() {
+				defer GinkgoRecover()
+				defer close(done)
+				done <- c.parsleyApply(e, fmt.Sprintf("[[zone]]\nname = %q\nregion = \"r\"\n", zone))
+			}()
+			if meanwhile != nil {
+				Eventually(func() int { return c.platformStats().Writes }, "10s", "5ms").Should(BeNumerically(">", before.Writes))
+				meanwhile()
+			}
+			return <-done, before.Revision
+		}
+		for _, fault := range []string{"outage", "hang"} {
+			By("a write that meets an " + fault)
+			c.faults(map[string]any{"delay_ms": 300})
+			a, before := apply("during-"+fault, func() {
+				c.faults(map[string]any{fault: true})
+				time.Sleep(1500 * time.Millisecond)
+				c.faults(map[string]any{fault: false, "delay_ms": 0})
+			})
+			c.expectAppliedOnce(a, "during-"+fault, before)
+		}
+		By("a write whose answer is lost")
+		c.faults(map[string]any{"lose_answers": 1, "lose_kind": "zone"})
+		a, before := apply("lost-answer", nil)
+		Expect(c.platformStats().Lost).To(Equal(1))
+		c.expectAppliedOnce(a, "lost-answer", before)
+		By("a store that is down all the time")
+		c.faults(map[string]any{"outage": true})
+		a, before = apply("never", nil)
+		Expect(a.code).To(Equal(6), a.output)
+		c.faults(map[string]any{"outage": false})
+		Consistently(func() uint64 { return c.platformStats().Revision }, "500ms", "50ms").Should(Equal(before))
+		a, before = apply("never", nil)
+		c.expectAppliedOnce(a, "never", before)
+	})
+
+	// Guards against instances that keep or spread an old configuration after
+	// they were cut off.
+	It("brings instances that were cut off up to date and never goes back", func() {
+		c := newCluster(shape{zones: []string{"a", "b"}, entries: 2, engines: 2, limit: 4, cold: 2})
+		asked := c.inZone("b")[0]
+		var cut []*node
+		for _, n := range append(append([]*node{}, c.entries...), c.agents...) {
+			if n.zone == "a" {
+				cut = append(cut, n)
+			}
+		}
+		ref := admin.Ref{Kind: core.KindZone, Name: "a", Version: c.versionOfZone("a")}
+		w := c.watchVersions(asked, ref)
+		change := func(i int) {
+			written, status, failure := c.put(asked, operatorKey, "a", fmt.Sprintf("r-%d", i), ref.Version)
+			Expect(status).To(Equal(200), failure.Message)
+			ref.Version = written.Version
+		}
+		change(0)
+		Eventually(func() bool { return c.inForce(asked, ref).InForce }, inForceWithin, "50ms").Should(BeTrue())
+		for _, n := range cut {
+			n.signal(syscall.SIGSTOP)
+		}
+		for i := range 6 {
+			change(i + 1)
+			time.Sleep(300 * time.Millisecond)
+		}
+		c.control(c.platAddr, http.MethodPost, "/control/compact", struct{}{})
+		change(7)
+		for _, n := range cut {
+			n.signal(syscall.SIGCONT)
+		}
+		Eventually(func() []string {
+			s := c.inForce(asked, ref)
+			return append(s.Behind, s.Unreachable...)
+		}, inForceWithin, "50ms").Should(BeEmpty())
+		time.Sleep(3 * time.Second)
+		w.end()
+		Expect(w.back).To(BeEmpty(), "instances that went back")
+		Expect(w.seen).To(HaveLen(len(c.entries) + len(c.agents)))
+		for name, v := range w.seen {
+			Expect(v).To(Equal(ref.Version), name)
+		}
+	})
+})
+
+func (c *cluster) versionOfZone(zone string) uint64 {
+	GinkgoHelper()
+	o, err := c.store.Get(context.Background(), core.Key{Kind: core.KindZone, Name: zone})
+	Expect(err).NotTo(HaveOccurred())
+	return o.Version
+}
+
+// versionWatch polls the versions that instances have in force. seen and back
+// may be read after end.
+type versionWatch struct {
+	stopped atomic.Bool
+	done    chan struct{}
+	seen    map[string]uint64
+	back    []string
+}
+
+func (w *versionWatch) end() {
+	w.stopped.Store(true)
+	<-w.done
+}
+
+// watchVersions notes the highest version of an object seen at each instance,
+// and each time that a lower one is seen after it.
+func (c *cluster) watchVersions(asked *node, ref admin.Ref) *versionWatch {
+	w := &versionWatch{done: make(chan struct{}), seen: map[string]uint64{}}
+	go func() {
+		defer GinkgoRecover()
+		defer close(w.done)
+		for !w.stopped.Load() {
+			for _, in := range c.inForce(asked, ref).Instances {
+				if in.Error != "" {
+					continue
+				}
+				v := versionOf(in, ref.Kind, ref.Name)
+				if v < w.seen[in.Name] {
+					w.back = append(w.back, fmt.Sprintf("%s from %d to %d", in.Name, w.seen[in.Name], v))
+				}
+				w.seen[in.Name] = max(w.seen[in.Name], v)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	DeferCleanup(w.end)
+	return w
+}
