--- a/bench/policy/sim.go
+++ b/bench/policy/sim.go
@@ -74,6 +74,8 @@
 	// upstream has the upstream of each candidate.
 	upstream []*upstream
 	waiting  []*job
+	// again is set while a later try is scheduled.
+	again bool
 }
 
 type upstream struct {
@@ -156,7 +158,13 @@
 		i := e.picker.Pick(epoch.Add(m.now), e.candidates)
 		if i < 0 {
 			// Credit can grow with time alone.
-			m.at(m.now+every, func() { m.send(e) })
+			if !e.again {
+				e.again = true
+				m.at(m.now+every, func() {
+					e.again = false
+					m.send(e)
+				})
+			}
 			return
 		}
 		j, u := e.waiting[0], e.upstream[i]
