--- a/entry/flow/router.go
+++ b/entry/flow/router.go
@@ -233,7 +233,10 @@
 	if s == nil {
 		return false
 	}
-	for _, u := range usable(s) {
+	r.mu.Lock()
+	ups := r.usable(s)
+	r.mu.Unlock()
+	for _, u := range ups {
 		if req.Team.Routed == nil || req.Team.Routed[u.Name] {
 			return true
 		}
