--- a/agent/serve/agent.go
+++ b/agent/serve/agent.go
@@ -24,6 +24,7 @@
 	"parsleyroute.example/core/process/clock"
 	"parsleyroute.example/core/process/conf"
 	"parsleyroute.example/core/process/engine"
+	"parsleyroute.example/core/process/group"
 	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/core/process/objapi"
 	"parsleyroute.example/core/process/ramp"
@@ -52,6 +53,8 @@
 	engine      core.Engine
 	fence       fence
 	cache       *cache.Feed
+	// ranks is nil if the upstream is not a rank.
+	ranks *ranks
 	// rules belongs to the node's owner goroutine, which calls configure.
 	rules rules.Compiler
 	seen  uint64
@@ -70,6 +73,9 @@
 	go func() { _ = a.node.Run(base) }()
 	go a.followReports(base)
 	go a.cache.Run(base)
+	if a.ranks != nil {
+		go a.ranks.run(base)
+	}
 	_ = level.Info(a.Logger).Log("msg", "listening", "address", srv.Addr(), "incarnation", a.incarnation)
 	<-ctx.Done()
 	err := a.drain(srv)
@@ -135,6 +141,12 @@
 	})
 	a.engine = do.MustInvoke[core.Engine](i)
 	a.cache = &cache.Feed{Engine: a.engine, Clock: do.MustInvoke[core.Clock](i)}
+	if s.Engine.Group.IsValid() {
+		a.ranks = &ranks{
+			engine: &group.Rank{Addr: s.Engine.Group, Rank: s.Engine.Rank},
+			key:    s.Key, clock: do.MustInvoke[core.Clock](i), logger: a.Logger, members: make(chan members, 1),
+		}
+	}
 	a.gate = do.MustInvoke[*ramp.Gate](i)
 	a.ledger = do.MustInvoke[*ledger.Ledger](i)
 	a.guard = do.MustInvoke[*guard.Guard](i)
@@ -162,6 +174,7 @@
 	a.gate.Configure(ramp.Config{
 		Limit: u.Limit, Cold: u.Cold, Step: u.Step, Share: u.Share, Out: u.Out, Leaving: a.leaving(),
 	})
+	a.ranks.configure(table, u)
 }
 
 // leaving reports whether the platform lists this instance as leaving. An
@@ -182,6 +195,9 @@
 	app.Post(links.DispatchPath, a.dispatch)
 	server.Twirp(app, wire.ConfigPathPrefix, a.node.Handler())
 	server.Twirp(app, wire.UpstreamPathPrefix, spread.RequirePeerKey(a.Settings.Key, wire.NewUpstreamServer(upstreamService{a})))
+	if a.ranks != nil {
+		server.Twirp(app, wire.RanksPathPrefix, a.ranks)
+	}
 	server.Debug(app)
 	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", func(c fiber.Ctx) error {
--- a/agent/serve/settings.go
+++ b/agent/serve/settings.go
@@ -26,6 +26,8 @@
 	// Group is the address of the rank's control interface; empty if the
 	// upstream is not a rank.
 	Group netip.AddrPort `toml:"group"`
+	// Rank is the rank's number at that interface.
+	Rank int `toml:"rank"`
 }
 
 // Check reports the first setting that is missing or out of range.
--- a/core/domain.go
+++ b/core/domain.go
@@ -39,6 +39,12 @@
 	Queue int
 	// RetryRatio is the part of a retry that each first attempt earns.
 	RetryRatio float64
+	// Layers, Experts and Slots are the layers, the experts in a layer and the
+	// expert slots of a rank in a layer, for services whose upstreams are
+	// ranks. The leader keeps no expert map where they are zero.
+	Layers  int
+	Experts int
+	Slots   int
 }
 
 // Route declares whether the requests below a path may be repeated. The
--- a/core/version/decl/format.go
+++ b/core/version/decl/format.go
@@ -31,6 +31,9 @@
 	Version uint64      `toml:"version,omitempty"`
 	Timeout string      `toml:"timeout,omitempty"`
 	Queue   int         `toml:"queue,omitempty"`
+	Layers  int         `toml:"layers,omitempty"`
+	Experts int         `toml:"experts,omitempty"`
+	Slots   int         `toml:"slots,omitempty"`
 	Retry   float64     `toml:"retry,omitempty"`
 	Labels  core.Labels `toml:"labels,inline,omitempty"`
 	Routes  []route     `toml:"routes,omitempty"`
@@ -105,8 +108,13 @@
 	}
 	c.check(t.Queue >= 0 && t.Queue <= MaxCount, "queue", "must be from 0 to %d", MaxCount)
 	c.check(t.Retry >= 0 && t.Retry <= 1, "retry", "must be from 0 to 1")
+	for key, n := range map[string]int{"layers": t.Layers, "experts": t.Experts, "slots": t.Slots} {
+		c.check(n >= 0 && n <= MaxCount, key, "must be from 0 to %d", MaxCount)
+		c.check((n == 0) == (t.Layers == 0), key, "must be declared together with layers, experts and slots")
+	}
 	s := core.Service{
 		Name: t.Name, Labels: t.Labels, Timeout: timeout.Duration, Queue: t.Queue, RetryRatio: t.Retry,
+		Layers: t.Layers, Experts: t.Experts, Slots: t.Slots,
 	}
 	seen := map[[2]string]bool{}
 	for _, r := range t.Routes {
@@ -216,7 +224,10 @@
 	case Zone:
 		return document{Zone: []zoneTable{{Name: d.Name, Region: d.Region, Labels: d.Labels}}}, true
 	case Service:
-		t := serviceTable{Name: d.Name, Queue: d.Queue, Retry: d.RetryRatio, Labels: d.Labels}
+		t := serviceTable{
+			Name: d.Name, Queue: d.Queue, Retry: d.RetryRatio, Labels: d.Labels,
+			Layers: d.Layers, Experts: d.Experts, Slots: d.Slots,
+		}
 		if d.Timeout != 0 {
 			t.Timeout = d.Timeout.String()
 		}
--- a/entry/flow/router.go
+++ b/entry/flow/router.go
@@ -62,6 +62,8 @@
 	mu      sync.Mutex
 	queues  map[string]*admit.Queue
 	subsets map[string]subset
+	// peers names the live entries of the own zone.
+	peers []string
 	// leaving holds the agents whose instances the platform lists as leaving.
 	leaving map[netip.AddrPort]bool
 }
@@ -132,7 +134,7 @@
 	if r.subsets == nil {
 		r.subsets = map[string]subset{}
 	}
-	chosen := picker.Subset(s.Name, r.Self.Name, r.Self.Zone, r.usable(s), r.Subset)
+	chosen := picker.Subset(s.Name, r.Self.Name, r.Self.Zone, r.usable(s), r.Subset, r.peers...)
 	r.subsets[s.Name] = subset{state: s, upstreams: chosen}
 	return chosen
 }
@@ -163,9 +165,16 @@
 			delete(leaving, in.Peer)
 		}
 	}
+	var peers []string
+	for _, in := range instances {
+		if in.Role == core.RoleEntry && in.Zone == r.Self.Zone && !in.Leaving {
+			peers = append(peers, in.Name)
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leaving = leaving
+	r.peers = peers
 	r.subsets = nil
 }
 
@@ -257,6 +266,7 @@
 		p = r.pick(t)
 		return p != nil
 	}
+	t.item.Class = t.class()
 	start := r.Clock.Now()
 	if err := q.Wait(ctx, t.item); err != nil {
 		return nil, err
--- a/entry/flow/trip.go
+++ b/entry/flow/trip.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/core/request/admit"
@@ -34,7 +38,7 @@
 		req: req,
 		item: &admit.Item{
 			Team: req.Team.Name, Weight: req.Team.Weight, Priority: req.Priority,
-			Deadline: req.Deadline, Class: class(req),
+			Deadline: req.Deadline,
 		},
 		record: &Record{
 			ID: req.ID, Entry: r.Self.Name, Team: req.Team.Name, Service: req.Service.Name,
@@ -48,12 +52,19 @@
 	return answer, err
 }
 
-// class names the set of upstreams that a request may use.
-func class(req *Request) string {
-	if req.Team.Routed != nil {
-		return "team/" + req.Team.Name
+// class names the set of upstreams that the request may use. A request that
+// avoids upstreams which failed it must not decide for the others.
+func (t *trip) class() string {
+	name := ""
+	if t.req.Team.Routed != nil {
+		name = "team/" + t.req.Team.Name
+	}
+	if len(t.avoid) == 0 {
+		return name
 	}
-	return ""
+	avoid := lo.Keys(t.avoid)
+	slices.Sort(avoid)
+	return name + " without " + strings.Join(avoid, ",")
 }
 
 func (r *Router) serve(ctx context.Context, t *trip) (*Answer, error) {
--- a/entry/serve/entry.go
+++ b/entry/serve/entry.go
@@ -32,6 +32,7 @@
 	"parsleyroute.example/core/wire"
 	"parsleyroute.example/entry/flow"
 	"parsleyroute.example/entry/front"
+	"parsleyroute.example/entry/lead"
 )
 
 // Entry is one entry process. Exported fields are set before Run.
@@ -46,6 +47,7 @@
 	router *flow.Router
 	// explainer answers for the records of requests.
 	explainer *flow.Explainer
+	leader    *lead.Leader
 	front     *front.Front
 	table     atomic.Pointer[core.Table]
 	draining  atomic.Bool
@@ -67,10 +69,14 @@
 	}
 	go func() { _ = e.node.Run(base) }()
 	go func() { _ = e.router.Run(base) }()
+	leading := make(chan struct{})
+	go func() { defer close(leading); _ = e.leader.Run(base) }()
 	_ = level.Info(e.Logger).Log("msg", "listening", "callers", callers.Addr(), "peers", peers.Addr())
 	<-ctx.Done()
 	err := e.drain(callers, peers)
 	stop()
+	// Leases are released, so that a successor need not wait for their end.
+	<-leading
 	e.node.Close()
 	_ = level.Info(e.Logger).Log("msg", "ended", "err", err)
 	return err
@@ -116,6 +122,10 @@
 	}
 	e.router = do.MustInvoke[*flow.Router](i)
 	e.node = do.MustInvoke[*spread.Node](i)
+	e.leader = &lead.Leader{
+		Self: s.Instance, Holder: fmt.Sprintf("%s/%x", s.Instance, newIncarnation()), Key: s.Key,
+		Store: e.store, Clock: e.clock, Logger: e.Logger,
+	}
 	e.explainer = do.MustInvoke[*flow.Explainer](i)
 	e.router.Gauges()
 	return nil
@@ -187,6 +197,7 @@
 	e.router.List(e.node.Instances())
 	e.table.Store(table)
 	e.router.Apply(table, max(entries, 1))
+	e.leader.Apply(table, e.node.Instances())
 }
 
 func (e *Entry) callersApp() *fiber.App {
