--- a/core/version/commit/commit_test.go
+++ b/core/version/commit/commit_test.go
@@ -133,6 +133,7 @@
 		deciders, timeouts int
 		replaces           int
 		steps, ballots     uint64 // bounds
+		rivals             bool   // two deciders that have recovered, a switch asked of each
 	}
 	second := func(w *world) {
 		m := newMachine(2, 1)
@@ -144,10 +145,34 @@
 		{deciders: 1, steps: 2, ballots: 2},
 		{timeouts: 1, steps: 3, ballots: 4},
 		{replaces: 1, steps: 2, ballots: 2},
+		{rivals: true, steps: 2},
 	} {
 		w := newWorld(2)
 		w.ms = append(w.ms, newMachine(2, 1))
-		w.request(0, 3)
+		if c.rivals {
+			for d := range 2 {
+				if d == 0 {
+					w.send(0, w.ms[0].start())
+				} else {
+					second(w)
+				}
+				for len(w.orders)+len(w.replies) > 0 {
+					for range len(w.orders) {
+						w.carryOut(0)
+					}
+					for range len(w.replies) {
+						w.answer(0)
+					}
+				}
+			}
+			// Ballots that no rank has refused yet, the second one higher.
+			w.ms[0].saw(w.ms[1].floor)
+			w.request(0, 3)
+			w.ms[1].saw(w.ms[0].floor)
+			w.request(1, 3)
+		} else {
+			w.request(0, 3)
+		}
 		c.w = w
 		seen := map[string]bool{}
 		stack := []node{c}
