--- a/core/version/commit/commit_test.go
+++ b/core/version/commit/commit_test.go
@@ -376,6 +376,8 @@
 	g.Expect(epochs()).To(Equal([]uint64{2, 2, 2}))
 	_, err := s.clients[2].Stage(ctx, core.Ballot{Token: 4}, m)
 	g.Expect(trace.IsCompareFailed(err)).To(BeTrue(), "%v", err)
+	_, err = s.clients[2].Stage(ctx, core.Ballot{Token: 5}, &core.ExpertMap{Epoch: 9, Layers: 1, Ranks: 3, Slots: []uint32{7}})
+	g.Expect(trace.IsBadParameter(err)).To(BeTrue(), "%v", err)
 	g.Expect(trace.IsCompareFailed(s.clients[0].Switch(ctx, 4, 3))).To(BeTrue())
 	g.Expect(s.clients[0].Switch(ctx, 5, 2)).To(Succeed(), "a repeated switch")
 	load, err := s.clients[1].Load(ctx)
--- a/core/version/commit/wire.go
+++ b/core/version/commit/wire.go
@@ -10,6 +10,7 @@
 	"github.com/twitchtv/twirp"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/version/expert"
 	"parsleyroute.example/core/wire"
 )
 
@@ -51,6 +52,9 @@
 	if m.Epoch == 0 {
 		return nil, twirp.RequiredArgumentError("map.epoch")
 	}
+	if err := expert.Check(m); err != nil {
+		return nil, toTwirp(err)
+	}
 	n, err := s.Rank.Stage(ctx, ballotFromWire(q.GetBallot()), m)
 	if err == nil && s.Decider != nil {
 		err = s.Decider.Keep(ctx, m)
