Push a change to other instances of a zone whose relays do not take it

Cause: watchers push a change to two relays of every other zone, and these are entries. While they are frozen, the agents of the zone hear of the change by exchange only, and an exchange with a frozen peer costs a second and brings nothing. A change took longer than 3 s to reach them, and entries that went on before the agents knew of an order sent new work to a zone that was out.

Ruled out: the gate, which refuses everything once the order is in force at the agent, and the count of the engines, which grew by dispatches that the agents admitted.

Change: if no chosen target of a zone takes a change, it is pushed to up to eight other instances of that zone. The bound keeps a zone that is cut off from blocking other pushes.

Conclusion: an agent learns of an order within the time limit of a push, 1 s, or 2 s if another push to the frozen relay is under way. Beyond eight instances in a zone whose relays are all frozen, the rest still depends on exchanges.

--- a/core/process/spread/owner.go
+++ b/core/process/spread/owner.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/samber/lo"
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/core/version/objset"
+	"parsleyroute.example/core/wire"
 )
 
 // owner is the state of a node. Only the goroutine of Run uses it.
@@ -128,11 +130,13 @@
 	// Before the first sync everything is new to this node but hardly to its
 	// peers, so nothing is passed on.
 	if o.synced {
+		objects := lo.Map(changed, func(obj core.Object, _ int) *wire.Object { return toWire(obj) })
 		switch {
 		case from.store:
-			o.push(changed, o.roster.own, o.roster.abroad(o.rng))
+			o.push(objects, o.roster.own, nil)
+			o.pushAbroad(objects)
 		case from.zone != o.n.Self.Zone && o.roster.relay:
-			o.push(changed, o.roster.own)
+			o.push(objects, o.roster.own, nil)
 		}
 	}
 	if o.n.OnChange != nil {
--- a/core/process/spread/roster.go
+++ b/core/process/spread/roster.go
@@ -107,22 +107,21 @@
 	return picked[:min(len(picked), watchersPerZone)]
 }
 
-// abroad returns instances of every other zone, the zone's relays first.
-func (r *roster) abroad(rng *rand.Rand) []netip.AddrPort {
+// targets returns the instances of a zone to which a change is pushed, the
+// zone's relays first.
+func (z *zoneRoster) targets(rng *rand.Rand) []netip.AddrPort {
 	var targets []netip.AddrPort
-	for _, z := range r.zones {
-		for i := range abroadPerZone {
-			switch k := i - len(z.relays); {
-			case k < 0:
-				continue
-			case k < len(z.rest):
-				targets = append(targets, z.rest[rng.IntN(len(z.rest))])
-			}
-		}
-		for _, i := range rng.Perm(len(z.relays))[:min(len(z.relays), abroadPerZone)] {
-			targets = append(targets, z.relays[i])
+	for i := range abroadPerZone {
+		switch k := i - len(z.relays); {
+		case k < 0:
+			continue
+		case k < len(z.rest):
+			targets = append(targets, z.rest[rng.IntN(len(z.rest))])
 		}
 	}
+	for _, i := range rng.Perm(len(z.relays))[:min(len(z.relays), abroadPerZone)] {
+		targets = append(targets, z.relays[i])
+	}
 	return lo.Uniq(targets)
 }
 
