Do not take the entry's own freeze for an agent's silence

Cause: the read deadline of 2 s passes while an entry is frozen. When it goes on, reads fail although the agent's frames are in the socket, and the stream is resumed; a zone that was taken out meanwhile refuses that, so the answer broke off ("read frame", then "upstream_out").

Ruled out: the agent (it had sent the whole answer) and the engine.

Change: the last 200 ms of the 2 s are a read with a deadline of its own, so bytes that have arrived are read before the agent counts as lost.

Conclusion: a freeze of an entry delays its answers and does not cut them.

--- a/core/conn/links/link.go
+++ b/core/conn/links/link.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +24,9 @@
 	// Silence is the time without a frame after which an agent is lost. Agents
 	// ping every 500 ms.
 	Silence = 2 * time.Second
+	// lastLook is the part of Silence after a deadline that may have passed
+	// while this process was frozen.
+	lastLook = 200 * time.Millisecond
 	// dialTimeout bounds a new connection.
 	dialTimeout = time.Second
 	// firstPause and maxPause bound the time for which a lost agent is left
@@ -78,11 +83,21 @@
 	return l
 }
 
-// silent fails a read after Silence without a byte.
+// silent fails a read after Silence without a byte. The last part of that time
+// is a read of its own: if this process was frozen, the deadline has passed when
+// it goes on, although the agent's bytes are there to be read.
 type silent struct{ net.Conn }
 
 func (c silent) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(Silence)); err != nil {
+	n, err := c.readWithin(Silence-lastLook, p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		return c.readWithin(lastLook, p)
+	}
+	return n, err
+}
+
+func (c silent) readWithin(d time.Duration, p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(d)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Read(p)
