--- a/fakes/system/config_test.go
+++ b/fakes/system/config_test.go
@@ -19,6 +19,8 @@
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/admin"
+	"parsleyroute.example/core/process/spread"
+	"parsleyroute.example/core/wire"
 	"parsleyroute.example/fakes/process/objsrv"
 )
 
@@ -147,13 +149,17 @@
 		for _, n := range nodes {
 			n.start(c.dir)
 		}
+		// An instance that nobody has listed yet can ask its seeds only.
+		c.planEntry("a", len(c.entries))
+		fresh := c.entries[len(c.entries)-1]
+		c.startEntry(fresh)
 		c.waitReady()
 		last.kill()
 		last.start(c.dir)
 		c.waitReady()
 		Eventually(func() []string {
 			s := c.inForce(last, ref)
-			if len(s.Instances) != len(nodes)+1 {
+			if len(s.Instances) < len(nodes)+1 {
 				return []string{"instances missing"}
 			}
 			return append(s.Behind, s.Unreachable...)
@@ -220,7 +226,9 @@
 				cut = append(cut, n)
 			}
 		}
-		ref := admin.Ref{Kind: core.KindZone, Name: "a", Version: c.versionOfZone("a")}
+		old, err := c.store.Get(context.Background(), core.Key{Kind: core.KindZone, Name: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		ref := admin.Ref{Kind: core.KindZone, Name: "a", Version: old.Version}
 		w := c.watchVersions(asked, ref)
 		change := func(i int) {
 			written, status, failure := c.put(asked, operatorKey, "a", fmt.Sprintf("r-%d", i), ref.Version)
@@ -245,6 +253,10 @@
 			s := c.inForce(asked, ref)
 			return append(s.Behind, s.Unreachable...)
 		}, inForceWithin, "50ms").Should(BeEmpty())
+		By("late messages with an old version")
+		for _, n := range append(append([]*node{}, c.entries...), c.agents...) {
+			c.pushLate(n, old)
+		}
 		time.Sleep(3 * time.Second)
 		w.end()
 		Expect(w.back).To(BeEmpty(), "instances that went back")
@@ -262,6 +274,17 @@
 	return o.Version
 }
 
+// pushLate sends an object to an instance as a peer does.
+func (c *cluster) pushLate(n *node, o core.Object) {
+	GinkgoHelper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := spread.NewHTTPPeers(peerKey, 0).Peer(n.peer).Push(ctx, &wire.PushRequest{Zone: n.zone, Objects: []*wire.Object{{
+		Kind: string(o.Kind), Name: o.Name, Version: o.Version, Writer: o.Writer, Nonce: o.Nonce, Value: o.Value,
+	}}})
+	Expect(err).NotTo(HaveOccurred())
+}
+
 // versionWatch polls the versions that instances have in force. seen and back
 // may be read after end.
 type versionWatch struct {
--- a/fakes/system/zone_test.go
+++ b/fakes/system/zone_test.go
@@ -1,12 +1,17 @@
 package system_test
 
 import (
+	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core"
 )
 
 const (
@@ -23,7 +28,13 @@
 		zones: []string{"a", "b", "c"}, entries: 2, engines: 2, limit: 8, cold: 2, step: 4, seeds: true,
 		engineArgs: []string{"--set", `{"cold":2,"max":8,"step":4}`},
 	})
-	l := c.load(callers, func(e *node, id string) result { return c.document(e, id, 16) })
+	var n atomic.Int64
+	l := c.load(callers, func(e *node, id string) result {
+		if n.Add(1)%5 < 3 {
+			return c.document(e, id, 16)
+		}
+		return c.stream(e, id, 32)
+	})
 	c.waitWarm(c.agents)
 	return c, l
 }
@@ -108,21 +119,43 @@
 	})
 
 	// Guards against entries that act on an old configuration after a freeze:
-	// the agents refuse what they send, and they learn of the change soon.
+	// the agents refuse what they send, and they learn of the change soon. Also
+	// guards against answers that break off because the entry, not the agent,
+	// was silent.
 	It("gets no new work from entries that were frozen during the order", func() {
 		c, l := loadedZones()
 		away, frozen := c.upstreams("model", "a"), c.inZone("a")
+		long := make([]result, 8)
+		var wg sync.WaitGroup
+		for i := range long {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				long[i] = c.stream(frozen[i%len(frozen)], fmt.Sprintf("long-%d", i), 250)
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
 		for _, e := range frozen {
 			e.shut.Store(true)
 			e.signal(syscall.SIGSTOP)
 		}
-		c.zoneOut(c.inZone("b")[0], "a")
+		change := c.zoneOut(c.inZone("b")[0], "a")
 		time.Sleep(quietAfter)
 		quiet := c.started(away)
+		status := c.inForce(c.inZone("b")[0], change)
+		for _, in := range status.Instances {
+			if in.Role == core.RoleAgent {
+				Expect(versionOf(in, change.Kind, change.Name)).To(Equal(change.Version), "%s after 3 s", in.Name)
+			}
+		}
 		for _, e := range frozen {
 			e.signal(syscall.SIGCONT)
 			e.shut.Store(false)
 		}
+		wg.Wait()
+		for _, r := range long {
+			Expect(r.err).NotTo(HaveOccurred(), "%s", r.body[max(0, len(r.body)-200):])
+			Expect(r.status).To(Equal(200), string(r.body))
+		}
 		time.Sleep(quietAfter)
 		refused := c.refusals(away, "upstream_out")
 		c.noNewWork(away, 2*time.Second)
