--- a/core/process/spread/node_test.go
+++ b/core/process/spread/node_test.go
@@ -237,3 +237,32 @@
 		}
 	}
 }
+
+// Guards against agents that hear of a change too late because all entries of
+// their zone, which are its relays, are frozen: a zone must be out after 3 s.
+func TestAgentsLearnWithoutTheirRelays(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			f := threeZones(seed)
+			f.startAll()
+			defer f.stopAll()
+			_, err := f.within(5 * time.Second)
+			must(t, err)
+			for _, inst := range f.platform.list {
+				if inst.Zone == "zone-0" && inst.Role == core.RoleEntry {
+					f.stop(inst)
+				}
+			}
+			for i := range 5 {
+				f.platform.write(team(i), false)
+				must(t, f.run(3*time.Second))
+				want := f.platform.objects[team(i)].Version
+				for _, inst := range f.platform.list {
+					if n := f.nodes[inst.Name]; inst.Role == core.RoleAgent && n.Version(team(i)) != want {
+						t.Fatalf("seed %d: %s has version %d instead of %d after 3 s", seed, inst.Name, n.Version(team(i)), want)
+					}
+				}
+			}
+		})
+	}
+}
