Do not deny that a key has run before it was looked up

Cause: an entry that has just started knows no teams or services yet, and an entry whose team is over its rate does not look the key up. Both refused a call with run: no, also when an earlier call with the same idempotency key had run through another entry.

Ruled out: the claim and the ledger; the key had run once and its answer was recorded. The refusal comes from the front, before any claim is read.

Change: such refusals (not_ready, unauthenticated, not_found, rate_limited) of calls with a key say run: unknown. The key is not looked up instead, because callers that are refused would then put load on the store.

Conclusion: run: no is said only where the key was looked up, the call has no key, or the call is malformed.

--- a/entry/flow/once.go
+++ b/entry/flow/once.go
@@ -254,6 +254,25 @@
 	return nil, &refusal
 }
 
+// Unproven returns the refusal of a call whose idempotency key was not looked
+// up. An earlier call with the key may have run, so it does not say otherwise,
+// unless the call itself is malformed. Looking the key up would let callers that
+// are refused put load on the store.
+func Unproven(key string, err error) error {
+	refusal, ok := core.AsRefusal(err)
+	if !ok || key == "" || refusal.Run != core.RunNo {
+		return err
+	}
+	switch refusal.Reason {
+	case core.ReasonNotReady, core.ReasonUnauthenticated, core.ReasonNotFound, core.ReasonRateLimited:
+		c := *refusal
+		c.Run = core.RunUnknown
+		c.Message += "; an earlier request with the key may have run"
+		return &c
+	}
+	return err
+}
+
 // asRefusal gives a failure its type. A failure of unknown kind is never
 // reported as not run.
 func asRefusal(err error) *core.Refusal {
--- /dev/null
+++ b/entry/flow/once_test.go
@@ -0,0 +1,42 @@
+package flow_test
+
+import (
+	"testing"
+
+	"github.com/gravitational/trace"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/entry/flow"
+)
+
+func TestFlow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "flow")
+}
+
+// Guards against "run: no" for a key that an earlier call has run: a restarted
+// or rate-limited entry refuses the repetition before it looks the key up.
+var _ = DescribeTable("a refusal before the key is looked up",
+	func(key string, reason core.Reason, run core.Run) {
+		before := core.Refuse(reason, "refused")
+		got, ok := core.AsRefusal(flow.Unproven(key, before))
+		Expect(ok).To(BeTrue())
+		Expect(got.Reason).To(Equal(reason))
+		Expect(got.Run).To(Equal(run))
+		Expect(before.Run).To(Equal(core.RunNo), "the refusal itself is shared")
+	},
+	Entry("not ready", "k", core.ReasonNotReady, core.RunUnknown),
+	Entry("team not known", "k", core.ReasonUnauthenticated, core.RunUnknown),
+	Entry("service not known", "k", core.ReasonNotFound, core.RunUnknown),
+	Entry("over the rate", "k", core.ReasonRateLimited, core.RunUnknown),
+	Entry("malformed", "k", core.ReasonBadRequest, core.RunNo),
+	Entry("without a key", "", core.ReasonNotReady, core.RunNo),
+)
+
+// Guards against failures without a type that are taken for refusals.
+var _ = It("leaves a failure that is no refusal as it is", func() {
+	err := trace.ConnectionProblem(nil, "lost")
+	Expect(flow.Unproven("k", err)).To(Equal(err))
+})
--- a/entry/flow/trip.go
+++ b/entry/flow/trip.go
@@ -57,6 +57,9 @@
 
 func (r *Router) serve(ctx context.Context, t *trip) (*Answer, error) {
 	if err := r.Limiter.Allow(t.req.Team.Name); err != nil {
+		if !t.req.Repeatable {
+			err = Unproven(t.req.Key, err)
+		}
 		return nil, err
 	}
 	if !t.req.Repeatable {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -110,7 +110,7 @@
 	c.Set(headerRequest, id)
 	req, err := f.parse(c, id)
 	if err != nil {
-		return refuse(c, id, err)
+		return refuse(c, id, flow.Unproven(c.Get(headerKey), err))
 	}
 	ctx, cancel := context.WithCancel(f.Base)
 	conn := c.RequestCtx().Conn()
--- /dev/null
+++ b/fakes/system/once_test.go
@@ -0,0 +1,204 @@
+package system_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/fakes/process/proxy"
+)
+
+// try is one call of a key. ranBefore tells that the key had run before the
+// call was made.
+type try struct {
+	result
+	entry     string
+	ranBefore bool
+}
+
+// keyed holds the calls of each key.
+type keyed struct {
+	mu    sync.Mutex
+	calls map[string][]try
+}
+
+func (k *keyed) add(key string, t try) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.calls[key] = append(k.calls[key], t)
+}
+
+// place calls with the key through random entries until an answer comes or
+// the tries are used up.
+func (c *cluster) place(k *keyed, key string, rng *rand.Rand) {
+	for range 4 {
+		e := c.entries[rng.IntN(len(c.entries))]
+		t := try{entry: e.name, ranBefore: c.runs(key) > 0}
+		t.result = c.do(call{
+			entry: e, team: "small", method: http.MethodPost, path: "desk/orders", body: "order " + key,
+			headers: map[string]string{"Idempotency-Key": key, "X-Deadline-Ms": strconv.Itoa(1000 + rng.IntN(4000))},
+		})
+		k.add(key, t)
+		if t.status == 200 {
+			return
+		}
+		time.Sleep(time.Duration(20+rng.IntN(100)) * time.Millisecond)
+	}
+}
+
+// disturb makes one random fault and ends it.
+func (f *faulty) disturb(rng *rand.Rand) {
+	a := f.agents[rng.IntN(len(f.agents))]
+	e := f.entries[rng.IntN(len(f.entries))]
+	d := time.Duration(50+rng.IntN(500)) * time.Millisecond
+	faults := []proxy.Fault{{Cut: true}, {Freeze: proxy.FreezeToTarget}, {Freeze: proxy.FreezeToClient}, {DelayMs: 150}, {HalfOpen: true}}
+	hold := func(link string) {
+		f.link(link, faults[rng.IntN(len(faults))])
+		time.Sleep(d)
+		f.link(link, proxy.Fault{})
+	}
+	switch rng.IntN(12) {
+	case 0, 1:
+		f.restart(a)
+	case 2:
+		f.restart(e)
+	case 3:
+		freeze(d, a)
+	case 4:
+		// Long enough for the agent to count as lost.
+		freeze(d+2*time.Second, a)
+	case 5:
+		freeze(d, e)
+	case 6:
+		// Long enough for another entry to take over its claims.
+		freeze(d+2*time.Second, e)
+	case 7:
+		f.platformFaults(map[string]any{"outage": true})
+		time.Sleep(d)
+		f.platformFaults(map[string]any{"outage": false})
+	case 8:
+		f.platformFaults(map[string]any{"lose_answers": 3, "lose_kind": "claim"})
+	case 9:
+		f.control(a.backend, http.MethodPut, "/control/settings", map[string]any{"lose_answers": 2})
+	case 10:
+		hold(front(a))
+	case 11:
+		hold(back(a))
+	}
+	time.Sleep(d / 4)
+}
+
+// heal ends the faults that outlast disturb.
+func (f *faulty) heal() {
+	f.platformFaults(map[string]any{"outage": false, "lose_answers": 0})
+	for _, a := range f.agents {
+		f.control(a.backend, http.MethodPut, "/control/settings", map[string]any{"lose_answers": 0})
+	}
+	f.waitReady()
+}
+
+// check compares what the callers of a key were told with its runs.
+func (k *keyed) check(key string, runs int) []string {
+	var out []string
+	var first []byte
+	answered, notRun := 0, 0
+	for i, t := range k.calls[key] {
+		switch {
+		case t.status == 200:
+			if answered++; answered == 1 {
+				first = t.body
+			} else if string(first) != string(t.body) {
+				out = append(out, fmt.Sprintf("%s: call %d got another answer than the first", key, i))
+			}
+		case t.run == "no":
+			notRun++
+			if t.ranBefore {
+				out = append(out, fmt.Sprintf("%s: call %d through %s was told run: no (%s) after the key had run", key, i, t.entry, t.reason))
+			}
+		}
+	}
+	switch {
+	case runs > 1:
+		out = append(out, fmt.Sprintf("%s ran %d times", key, runs))
+	case answered > 0 && runs != 1:
+		out = append(out, fmt.Sprintf("%s was answered and ran %d times", key, runs))
+	case notRun == len(k.calls[key]) && runs != 0:
+		out = append(out, fmt.Sprintf("%s was told run: no by all calls and ran %d times", key, runs))
+	}
+	return out
+}
+
+var _ = Describe("requests that may not be repeated", func() {
+	// Guards against second runs and against untrue refusals when entries,
+	// agents, the platform and the network between them fail at any moment.
+	// The seed fixes the order of the faults, not the moments of the calls.
+	It("run at most once, and what their callers are told is true", func() {
+		seed := uint64(GinkgoRandomSeed())
+		GinkgoWriter.Printf("seed of the faults: -ginkgo.seed=%d\n", seed)
+		f := newFaulty(shape{
+			zones: []string{"a", "b", "c"}, entries: 1, plains: 1, limit: 8, cold: 4, step: 2, seeds: true,
+			plainArgs: []string{"--set", `{"cold":8,"max":8,"delay_ms":30}`},
+		})
+		f.client = &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		k := &keyed{calls: map[string][]try{}}
+		stop := make(chan struct{})
+		var callers sync.WaitGroup
+		for w := range 8 {
+			callers.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer callers.Done()
+				// Two callers share each key.
+				rng := rand.New(rand.NewPCG(seed, uint64(w+1)))
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						return
+					default:
+						f.place(k, fmt.Sprintf("key-%d-%d", w/2, n), rng)
+					}
+				}
+			}()
+		}
+		rng := rand.New(rand.NewPCG(seed, 0))
+		for begin := time.Now(); time.Since(begin) < 20*time.Second; {
+			f.disturb(rng)
+		}
+		close(stop)
+		callers.Wait()
+		f.heal()
+
+		By("asking again for what was answered")
+		asked, answered := 0, 0
+		for key, calls := range k.calls {
+			for _, t := range calls {
+				if t.status == 200 {
+					answered++
+					if asked < 60 {
+						asked++
+						f.place(k, key, rng)
+					}
+					break
+				}
+			}
+		}
+		runs := f.allRuns()
+		var wrong []string
+		outcomes := map[string]int{}
+		for key, calls := range k.calls {
+			wrong = append(wrong, k.check(key, runs[key])...)
+			for _, t := range calls {
+				outcomes[fmt.Sprintf("%d %s %s", t.status, t.reason, t.run)]++
+			}
+		}
+		GinkgoWriter.Printf("%d keys, %d answered, outcomes %v\n", len(k.calls), answered, outcomes)
+		Expect(wrong).To(BeEmpty(), "of %d keys, seed %d", len(k.calls), seed)
+		Expect(answered).To(BeNumerically(">", 20), "too few answers to prove anything: %v", outcomes)
+	})
+})
