Free the place of a cancelled request when the upstream has let go of it

Cause: the agent gave the place of a cancelled request away at once, but an engine notices a closed connection late (the stand-in after up to 50 ms) and runs the request until then. The next request was one too many. Besides, a refusal of a cold engine as overloaded only halved the limit.

The excess came with cancelled calls only.

Change: the engine adapter closes only the sending side of a call that is given up and tells when the upstream has closed its side (at most 10 s); the agent frees the place then. A refusal as overloaded returns the ramp to cold, because the agent is the only way to the upstream.

--- a/agent/guard/guard.go
+++ b/agent/guard/guard.go
@@ -120,14 +120,16 @@
 	a := &answer{out: out, detached: claimed(d), cancel: cancel}
 	go probe.Watch(ctx, conn, a.entryGone)
 	stop := a.ping()
-	err := g.call(ctx, a, slot, d, body)
+	left := make(chan struct{})
+	err := g.call(ctx, a, slot, d, body, func() { close(left) })
 	stop()
-	g.settle(slot, d, a, err)
+	g.settle(slot, left, d, a, err)
 }
 
 // call runs the request and passes the answer on. It returns nil if the
-// upstream's answer was whole.
-func (g *Guard) call(ctx context.Context, a *answer, slot *ramp.Slot, d *wire.Dispatch, body []byte) error {
+// upstream's answer was whole. left is called when the upstream has let go of
+// the request.
+func (g *Guard) call(ctx context.Context, a *answer, slot *ramp.Slot, d *wire.Dispatch, body []byte, left func()) error {
 	reply, err := g.Engine.Do(ctx, &core.Call{
 		RequestID:      d.GetAttempt().GetRequestId(),
 		Method:         d.GetMethod(),
@@ -138,6 +140,7 @@
 		Priority:       int(d.GetPriority()),
 		IdempotencyKey: d.GetIdempotencyKey(),
 		Offset:         d.GetResumeOffset(),
+		Left:           left,
 	})
 	if err != nil {
 		return err
@@ -164,12 +167,24 @@
 	}
 }
 
+// free gives the slot back once the upstream has let go of the request: it can
+// run a cancelled request for some time after, and a slot that is free at once
+// would let one request too many in.
+func free(slot *ramp.Slot, left <-chan struct{}, failed bool) {
+	select {
+	case <-left:
+		slot.Release(failed)
+	default:
+		go func() { <-left; slot.Release(failed) }()
+	}
+}
+
 // settle frees the slot, records the outcome and ends the frames.
-func (g *Guard) settle(slot *ramp.Slot, d *wire.Dispatch, a *answer, err error) {
+func (g *Guard) settle(slot *ramp.Slot, left <-chan struct{}, d *wire.Dispatch, a *answer, err error) {
 	refusal, isRefusal := core.AsRefusal(err)
 	switch {
 	case err == nil:
-		slot.Release(false)
+		free(slot, left, false)
 		if claimed(d) {
 			g.record(d, a.recorded())
 		}
@@ -178,15 +193,21 @@
 		}
 		return
 	case isRefusal && refusal.Run == core.RunNo:
-		slot.Release(refusal.Reason == core.ReasonUpstreamBusy)
+		if refusal.Reason == core.ReasonUpstreamBusy {
+			// The agent is the only way to the upstream, so it bears less than
+			// the limit. Halving the limit let a cold upstream get twice what
+			// it bears for as long as it took five answers to show it.
+			g.Gate.Cool()
+		}
+		free(slot, left, refusal.Reason == core.ReasonUpstreamBusy)
 		if claimed(d) {
 			g.Ledger.Forget(d.GetAttempt())
 		}
 	case a.gone() || errors.Is(err, context.Canceled):
-		slot.Release(false)
+		free(slot, left, false)
 		meter.Event("upstream_cancelled")
 	default:
-		slot.Release(true)
+		free(slot, left, true)
 		if trace.IsConnectionProblem(err) {
 			// A broken connection may mean that the upstream has restarted.
 			g.Gate.Cool()
--- a/core/engine.go
+++ b/core/engine.go
@@ -27,6 +27,11 @@
 	// Offset is the number of bytes of the answer to skip when a stream is
 	// resumed; zero for a new call.
 	Offset uint64
+	// Left, if set, is called once when the upstream has let go of the call: its
+	// answer was read to the end, the call was not sent, or the upstream has
+	// closed the connection of a call that was given up. Until then the call
+	// uses the upstream. It can come after Do and Close have returned.
+	Left func()
 }
 
 // Reply is an upstream's answer. The caller closes Body; closing it before its
--- a/core/process/engine/caller.go
+++ b/core/process/engine/caller.go
@@ -27,10 +27,16 @@
 
 // do runs a call at addr.
 func (c *caller) do(ctx context.Context, addr netip.AddrPort, call *core.Call) (*core.Reply, error) {
+	left := call.Left
+	if left == nil {
+		left = func() {}
+	}
 	if !strings.HasPrefix(call.Path, "/") {
+		left()
 		return nil, core.Refuse(core.ReasonBadRequest, "the path of the call does not begin with a slash")
 	}
 	if ctx.Err() != nil {
+		left()
 		return nil, core.Refuse(core.ReasonCanceled, "the call was given up before it was sent")
 	}
 	req := fasthttp.AcquireRequest()
@@ -42,12 +48,13 @@
 	if err := s.client.Do(req, resp); err != nil {
 		stop()
 		s.close()
+		s.left(left)
 		if !s.sent() {
 			return nil, &core.Refusal{Reason: core.ReasonUpstreamLost, Run: core.RunNo, Message: "no connection to the upstream: " + err.Error()}
 		}
 		return nil, problem(ctx, err)
 	}
-	b := &body{caller: c, slot: s, ctx: ctx, stop: stop, resp: resp, stream: resp.BodyStream()}
+	b := &body{caller: c, slot: s, ctx: ctx, stop: stop, left: left, resp: resp, stream: resp.BodyStream()}
 	if b.stream == nil {
 		b.whole.Store(true)
 	} else if resp.Header.ContentLength() == -2 {
@@ -140,6 +147,7 @@
 	slot   *slot
 	ctx    context.Context
 	stop   func() bool
+	left   func()
 	resp   *fasthttp.Response
 	stream io.Reader
 	whole  atomic.Bool
@@ -172,10 +180,12 @@
 		_ = b.resp.CloseBodyStream()
 		if stopped && b.whole.Load() {
 			b.caller.put(b.slot)
+			b.left()
 			return
 		}
 		b.slot.interrupt()
 		b.slot.close()
+		b.slot.left(b.left)
 	})
 	return nil
 }
--- a/core/process/engine/doc.go
+++ b/core/process/engine/doc.go
@@ -7,6 +7,8 @@
 // as a *core.Refusal. Every other answer is the caller's, whatever its status.
 //
 // Each call has a connection to itself until its body is closed. Closing the
-// body before its end, or ending the context, closes the connection, which
-// tells the upstream to cancel the work.
+// body before its end, or ending the context, closes the sending side of the
+// connection, which tells the upstream to cancel the work. An upstream can
+// notice that late and goes on until then; core.Call.Left tells when it has
+// closed its side.
 package engine
--- a/core/process/engine/slot.go
+++ b/core/process/engine/slot.go
@@ -23,7 +23,7 @@
 	client fasthttp.HostClient
 
 	mu     sync.Mutex
-	conn   net.Conn
+	conn   *conn
 	cut    bool
 	dialed bool
 }
@@ -55,8 +55,8 @@
 		_ = c.Close()
 		return nil, net.ErrClosed
 	}
-	s.conn, s.dialed = c, true
-	return c, nil
+	s.conn, s.dialed = newConn(c.(*net.TCPConn)), true
+	return s.conn, nil
 }
 
 // interrupt ends the call in flight. The slot is of no use afterwards.
@@ -89,4 +89,18 @@
 	return s.dialed
 }
 
+// left calls f once the upstream has let go of the call in flight, which was
+// interrupted or has failed.
+func (s *slot) left(f func()) {
+	s.mu.Lock()
+	c := s.conn
+	s.mu.Unlock()
+	if c == nil {
+		f()
+		return
+	}
+	_ = c.Close()
+	go func() { <-c.gone; f() }()
+}
+
 func (s *slot) close() { s.client.CloseIdleConnections() }
--- a/fakes/process/engsrv/engsrv_test.go
+++ b/fakes/process/engsrv/engsrv_test.go
@@ -86,6 +86,37 @@
 		Expect(string(p) + string(rest)).To(Equal(want(c, 10)))
 	})
 
+	// Guards against places that an agent gives away while the engine, which
+	// notices a cancelled call late, still runs it.
+	It("tells that it has let go of a call only after it has", func() {
+		srv, e := start(func(s *engsrv.Settings) { s.BaseMs = 5 })
+		inflight := make(chan int, 2)
+		call := func(id string) *core.Call {
+			c := prompt(id, 10_000)
+			c.Left = func() { inflight <- srv.Stats().Inflight }
+			return c
+		}
+		reply, err := e.Do(ctx, call("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Body.Close()).To(Succeed())
+		Eventually(inflight, "2s").Should(Receive(BeZero()))
+
+		gone, cancel := context.WithCancel(ctx)
+		reply, err = e.Do(gone, call("b"))
+		Expect(err).NotTo(HaveOccurred())
+		cancel()
+		_, err = io.ReadAll(reply.Body)
+		Expect(trace.IsConnectionProblem(err)).To(BeTrue(), "%v", err)
+		Expect(reply.Body.Close()).To(Succeed())
+		Eventually(inflight, "2s").Should(Receive(BeZero()))
+
+		done := prompt("c", 4)
+		done.Left = func() { inflight <- srv.Stats().Inflight }
+		all(e, done)
+		Expect(inflight).To(Receive())
+		Consistently(inflight, "100ms").ShouldNot(Receive(), "told twice")
+	})
+
 	// Guards against work that goes on for callers that have gone, and against
 	// cut streams that pass for whole ones.
 	It("cancels the work of a closed body, of an ended context and of a restart", func() {
