Grant no request whose answer would come too late

Cause: a team's requests wait in the order of their deadlines, and a request was granted up to its deadline. In an overload those at the head have almost no time left; the engine begins them and cancels them at the deadline. Seen by the new overload_test.go.

Change: requests that wait are refused once less time is left than the shortest service time that the upstreams report. One that need not wait is always tried, so that a wrong report cannot keep the upstreams from being measured again.

--- a/core/request/admit/admit_test.go
+++ b/core/request/admit/admit_test.go
@@ -332,3 +332,33 @@
 	g.Expect(reason("b")).To(BeEmpty())
 	g.Expect(reason("a")).To(BeEmpty())
 }
+
+// Guards against capacity that goes to requests whose answers come too late:
+// in an overload, the queue grants those first whose deadlines are closest.
+func TestNoGrantTooCloseToTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newBed(10)
+		defer b.close()
+		now := time.Now()
+		late := &admit.Item{Team: "a", Deadline: now.Add(2 * time.Second), Need: time.Second}
+		b.wait(late)
+		b.wait(&admit.Item{Team: "a", Deadline: now.Add(4 * time.Second), Need: time.Second})
+		time.Sleep(1500 * time.Millisecond)
+		out := b.settle()
+		g.Expect(out).To(HaveLen(1), "refused when its answer can no longer come in time")
+		g.Expect(out[0].it).To(BeIdenticalTo(late))
+		r, ok := core.AsRefusal(out[0].err)
+		g.Expect(ok && r.Reason == core.ReasonDeadline && r.Run == core.RunNo).To(BeTrue())
+		b.grant("", 1)
+		out = b.settle()
+		g.Expect(out).To(HaveLen(1))
+		g.Expect(out[0].err).NotTo(HaveOccurred())
+
+		b.free[""] = 1
+		b.wait(&admit.Item{Team: "a", Deadline: time.Now().Add(time.Second), Need: time.Minute})
+		out = b.settle()
+		g.Expect(out).To(HaveLen(1))
+		g.Expect(out[0].err).NotTo(HaveOccurred(), "one that need not wait is tried")
+	})
+}
--- a/core/request/admit/item.go
+++ b/core/request/admit/item.go
@@ -12,8 +12,13 @@
 	// Weight is the team's share relative to the others'; default 1.
 	Weight   float64
 	Priority int
-	// Deadline is the latest useful start; zero means none.
+	// Deadline is the time by which the answer must have come; zero means none.
 	Deadline time.Time
+	// Need is the time that the upstreams take at least; zero if unknown. A
+	// request that waits is refused once less than that is left to its deadline.
+	// One that need not wait is always tried, so that a wrong value cannot keep
+	// the upstreams from being measured again.
+	Need time.Duration
 	// Class names the set of upstreams that the request may use. If Use fails
 	// for one item of a class, the others of the class are not tried.
 	Class string
@@ -50,3 +55,6 @@
 	}
 	return 1
 }
+
+// latest returns the time after which a waiting item is not worth granting.
+func (it *Item) latest() time.Time { return it.Deadline.Add(-it.Need) }
--- a/core/request/admit/queue.go
+++ b/core/request/admit/queue.go
@@ -79,7 +79,7 @@
 	}
 	var expired <-chan time.Time
 	if !it.Deadline.IsZero() {
-		expired = q.Clock.After(it.Deadline.Sub(now))
+		expired = q.Clock.After(it.latest().Sub(now))
 	}
 	select {
 	case err := <-it.done:
@@ -110,7 +110,7 @@
 		it.arrival = q.arrival
 	}
 	it.done = make(chan error, 1)
-	if wait := q.estimate(now, it); !it.Deadline.IsZero() && now.Add(wait).After(it.Deadline) {
+	if wait := q.estimate(now, it); !it.Deadline.IsZero() && now.Add(wait).After(it.latest()) {
 		return false, refuse(core.ReasonDeadline, "the estimated wait exceeds the deadline", wait)
 	}
 	if q.waiting == 0 {
@@ -196,7 +196,7 @@
 			continue
 		}
 		for _, it := range f.items {
-			if failed[it.Class] || !it.Deadline.IsZero() && !now.Before(it.Deadline) {
+			if failed[it.Class] || !it.Deadline.IsZero() && !now.Before(it.latest()) {
 				continue
 			}
 			if tag == nil || f.start < tag.start || it.arrival < best.arrival {
--- a/entry/flow/router.go
+++ b/entry/flow/router.go
@@ -199,6 +199,18 @@
 	return &place{upstream: chosen[i], link: l, release: l.Reserve(), candidates: len(candidates)}
 }
 
+// need returns the shortest service time that the service's upstreams report;
+// zero if there are no reports.
+func (r *Router) need(s *core.ServiceState) time.Duration {
+	var least time.Duration
+	for _, u := range r.upstreams(s) {
+		if d := r.Links.Get(u.Agent).Load().ServiceTime; d > 0 && (least == 0 || d < least) {
+			least = d
+		}
+	}
+	return least
+}
+
 // take waits for a place.
 func (r *Router) take(ctx context.Context, t *trip) (*place, error) {
 	var p *place
@@ -207,6 +219,7 @@
 		p = r.pick(t)
 		return p != nil
 	}
+	t.item.Need = r.need(t.req.Service)
 	start := r.Clock.Now()
 	if err := q.Wait(ctx, t.item); err != nil {
 		return nil, err
--- /dev/null
+++ b/fakes/system/overload_test.go
@@ -0,0 +1,162 @@
+package system_test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// memoryBound is what a node may use.
+	memoryBound = 128 << 20
+	// patience is the deadline of each request in milliseconds.
+	patience = 2000
+)
+
+// overloadTime is the time of the overload: 10 s, or a minute if PARSLEY_LONG
+// is 1.
+func overloadTime() time.Duration {
+	if os.Getenv("PARSLEY_LONG") == "1" {
+		return time.Minute
+	}
+	return 10 * time.Second
+}
+
+// offer sends rate requests a second of a team for d, however many are still
+// without an answer, and returns the outcomes.
+func (c *cluster) offer(team string, rate float64, d time.Duration) []sample {
+	var mu sync.Mutex
+	var out []sample
+	var wg sync.WaitGroup
+	n := int(rate * d.Seconds())
+	begin := time.Now()
+	for i := range n {
+		time.Sleep(time.Until(begin.Add(time.Duration(float64(i) / rate * float64(time.Second)))))
+		wg.Add(1)
+		go func() {
+			defer GinkgoRecover()
+			defer wg.Done()
+			s := sample{start: time.Now(), id: fmt.Sprintf("%s-%d", team, i)}
+			s.result = c.brief(c.entries[i%len(c.entries)], team, s.id)
+			s.end = time.Now()
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, s)
+		}()
+	}
+	wg.Wait()
+	return out
+}
+
+// brief asks for a short document within the deadline.
+func (c *cluster) brief(e *node, team, id string) result {
+	return c.do(call{
+		entry: e, team: team, method: http.MethodPost, path: "model/generate", body: `{"tokens":8,"stream":false}`,
+		headers: map[string]string{"X-Request-Id": id, "X-Deadline-Ms": strconv.Itoa(patience)},
+	})
+}
+
+// good counts the answers that came before the end and within their deadlines.
+func good(all []sample, end time.Time) float64 {
+	n := 0.0
+	for _, s := range all {
+		if s.ok() && s.took <= patience*time.Millisecond && s.end.Before(end) {
+			n++
+		}
+	}
+	return n
+}
+
+// atCapacity returns the goodput in answers a second with as many callers as
+// the upstreams have places.
+func (c *cluster) atCapacity(d time.Duration) float64 {
+	begin := time.Now()
+	l := c.load(c.shape.limit*len(c.agents), func(e *node, id string) result { return c.brief(e, "large", id) })
+	time.Sleep(d)
+	return good(l.end(), begin.Add(d)) / d.Seconds()
+}
+
+func overloaded() *cluster {
+	c := newCluster(shape{
+		zones: []string{"a", "b"}, entries: 1, engines: 1, limit: 8, cold: 8, seeds: true,
+		engineArgs: []string{"--set", `{"cold":8,"max":8,"base_ms":25}`},
+	})
+	c.client = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}
+	return c
+}
+
+// resident returns the resident memory of a process in bytes.
+func resident(p *process) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	Expect(err).NotTo(HaveOccurred())
+	_, rest, ok := strings.Cut(string(text), "VmRSS:")
+	Expect(ok).To(BeTrue())
+	kb, err := strconv.Atoi(strings.Fields(rest)[0])
+	Expect(err).NotTo(HaveOccurred())
+	return kb << 10
+}
+
+var _ = Describe("overload", func() {
+	// Guards against goodput that breaks down above the capacity, against a
+	// small team that starves behind a large one, and against memory that grows
+	// with the load offered.
+	It("keeps goodput, shares and memory at three times the capacity", func() {
+		c := overloaded()
+		c.atCapacity(time.Second)
+		peak := c.atCapacity(4 * time.Second)
+		d := overloadTime()
+		// The small team offers 30% of the capacity. Its fair share is a half.
+		var small, large []sample
+		var wg sync.WaitGroup
+		begin := time.Now()
+		wg.Go(func() { defer GinkgoRecover(); small = c.offer("small", 0.3*peak, d) })
+		wg.Go(func() { defer GinkgoRecover(); large = c.offer("large", 2.7*peak, d) })
+		wg.Wait()
+		end := begin.Add(d)
+		rate := (good(small, end) + good(large, end)) / d.Seconds()
+		GinkgoWriter.Printf("peak %.1f/s, overload %.1f/s, small team %.0f of %d, large team %.0f of %d\n",
+			peak, rate, good(small, end), len(small), good(large, end), len(large))
+		for _, a := range c.agents {
+			GinkgoWriter.Printf("%s: %+v\n", a.name, c.upstreamStats(a))
+		}
+		Expect(rate).To(BeNumerically(">=", 0.9*peak), "goodput in the overload")
+		Expect(good(small, time.Now())).To(BeNumerically(">=", 0.9*float64(len(small))), "the small team's answers")
+		for _, r := range append(small, large...) {
+			if r.status != 200 {
+				Expect(r.reason).NotTo(BeEmpty(), "%s: status %d after %s: %v", r.id, r.status, r.took, r.err)
+			}
+		}
+		for _, n := range append(append([]*node{}, c.entries...), c.agents...) {
+			GinkgoWriter.Printf("%s has %d MB\n", n.name, resident(n.process)>>20)
+			Expect(resident(n.process)).To(BeNumerically("<", memoryBound), n.name)
+		}
+		c.expectBorne()
+	})
+
+	// Guards against retries that multiply the load when upstreams fail: each
+	// first attempt earns a fifth of a retry, and ten are saved up.
+	It("keeps retries inside their budget while engines cut their answers", func() {
+		c := overloaded()
+		l := c.load(32, func(e *node, id string) result { return c.brief(e, "large", id) })
+		for range 30 {
+			for _, a := range c.agents {
+				c.control(a.backend, http.MethodPost, "/control/restart", struct{}{})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		first := len(l.end())
+		retries := c.counters("retries", c.entries...)
+		paid := retries["upstream_error"] + retries["upstream_lost"] + retries["corrupt_answer"]
+		GinkgoWriter.Printf("%d requests, retries %v, events %v\n", first, retries, c.counters("events", c.entries...))
+		Expect(paid).To(BeNumerically(">", 0))
+		Expect(float64(paid)).To(BeNumerically("<=", 0.2*float64(first)+10*float64(len(c.entries))))
+		Expect(c.counters("events", c.entries...)["retry_budget_spent"]).NotTo(BeZero(), "the budget was never used up")
+	})
+})
