Try more than once to resume a broken stream

Cause: a stream was resumed by one try, made at once after the break. A connection that has just broken can often not be made again at once, and the agent may still hold the place of the old stream. A resumed stream was also not closed when its caller went away.

Change: three tries within 600 ms for each break with progress in between; the end of the caller closes the present stream.

--- a/entry/flow/dispatch.go
+++ b/entry/flow/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -32,7 +33,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	answer, err := r.receive(t, p, s, stop)
+	answer, err := r.receive(ctx, t, p, s, stop)
 	if err != nil {
 		stop()
 		_ = s.Close()
@@ -42,7 +43,7 @@
 }
 
 // receive reads the head and the body's beginning.
-func (r *Router) receive(t *trip, p *place, s *links.Stream, stop func() bool) (*Answer, error) {
+func (r *Router) receive(ctx context.Context, t *trip, p *place, s *links.Stream, stop func() bool) (*Answer, error) {
 	head, err := next(s)
 	if err != nil {
 		return nil, err
@@ -52,7 +53,7 @@
 	}
 	p.link.Worked()
 	a := &Answer{Status: int(head.GetHead().GetStatus()), Headers: codec.HeadersFromWire(head.GetHead().GetHeaders())}
-	b := &body{router: r, trip: t, place: p, stream: s, stop: stop}
+	b := &body{ctx: ctx, router: r, trip: t, place: p, stream: s, stop: stop}
 	b.resumable = t.req.Repeatable && head.GetHead().GetResumable()
 	if isStream(a.Headers) {
 		if err := b.fill(); err != nil && !errors.Is(err, io.EOF) {
@@ -85,9 +86,15 @@
 	return false
 }
 
+// resumePause is doubled before each further try to resume a stream; the three
+// tries span 600 ms.
+const resumePause = 100 * time.Millisecond
+
 // body reads the answer's data for the caller. A stream that breaks is resumed
-// once for each break, as long as it makes progress between the breaks.
+// as long as it makes progress between the breaks.
 type body struct {
+	// ctx ends when the caller goes away.
+	ctx       context.Context
 	router    *Router
 	trip      *trip
 	place     *place
@@ -95,9 +102,10 @@
 	stop      func() bool
 	resumable bool
 	// offset is the number of bytes before the present stream.
-	offset  uint64
-	rest    []byte
-	err     error
+	offset uint64
+	rest   []byte
+	err    error
+	// resumes counts the tries to resume since the last progress.
 	resumes int
 }
 
@@ -170,30 +178,49 @@
 	return &c
 }
 
-// resume asks the same upstream for the rest of the answer.
+// resume asks the same upstream for the rest of the answer. It tries again
+// after a pause, because a connection that has just broken can often not be
+// made again at once, and the agent may still hold the place of the old one.
 func (b *body) resume() bool {
-	if !b.resumable || b.resumes >= maxAttempts || trace.IsBadParameter(b.err) {
+	if !b.resumable || trace.IsBadParameter(b.err) {
 		return false
 	}
 	if refusal, ok := core.AsRefusal(b.err); ok && refusal.Reason == core.ReasonCorruptAnswer {
 		return false
 	}
-	b.resumes++
+	if b.stream.Length() > 0 {
+		b.resumes = 0
+	}
 	b.offset += b.stream.Length()
 	_ = b.stream.Close()
+	for ; b.resumes < maxAttempts; b.resumes++ {
+		if b.resumes > 0 && b.router.Clock.Sleep(b.ctx, resumePause<<b.resumes) != nil {
+			return false
+		}
+		if b.reopen() {
+			b.resumes++
+			meter.Retry("stream_resumed")
+			return true
+		}
+	}
+	return false
+}
+
+// reopen makes one try to resume the stream.
+func (b *body) reopen() bool {
 	d := b.router.message(b.trip, b.place)
 	d.ResumeOffset = b.offset
 	s, err := b.place.link.Dispatch(d, b.trip.req.Body)
 	if err != nil {
 		return false
 	}
-	b.stream, b.err = s, nil
-	head, err := next(s)
-	if err != nil || head.GetHead() == nil {
-		b.err = err
+	if head, err := next(s); err != nil || head.GetHead() == nil {
+		_ = s.Close()
 		return false
 	}
-	meter.Retry("stream_resumed")
+	b.stop()
+	b.stop = context.AfterFunc(b.ctx, func() { _ = s.Close() })
+	b.stream, b.err = s, nil
 	return true
 }
 
