Adapt the rank group stand-in to admission by the decider

core.Group gives an engine an incarnation, which orders name, and a replaced rank takes part in no step until Decide admits it. The model of a group, the shared suite, the adapter over HTTP and the server follow. The setting bare_join is gone: a rank no longer joins on its own.

Tests that guarded the old rules are replaced: - "keeps a promise until it is decided" required that a prepared switch is not replaced.

--- a/core/process/group/body.go
+++ b/core/process/group/body.go
@@ -41,15 +41,17 @@
 
 // Request is the body of a call. Each call uses the fields it needs.
 type Request struct {
-	Ballot Ballot `json:"ballot"`
-	Epoch  uint64 `json:"epoch,omitempty"`
-	Step   uint64 `json:"step,omitempty"`
-	Commit bool   `json:"commit,omitempty"`
-	Map    *Map   `json:"map,omitempty"`
+	Ballot      Ballot `json:"ballot"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Epoch       uint64 `json:"epoch,omitempty"`
+	Step        uint64 `json:"step,omitempty"`
+	Commit      bool   `json:"commit,omitempty"`
+	Map         *Map   `json:"map,omitempty"`
 }
 
 // State is a core.RankState in JSON.
 type State struct {
+	Incarnation   uint64   `json:"incarnation"`
 	Step          uint64   `json:"step"`
 	ActiveEpoch   uint64   `json:"active_epoch"`
 	Ballot        Ballot   `json:"ballot"`
@@ -63,7 +65,7 @@
 // FromState converts a state to JSON.
 func FromState(s core.RankState) State {
 	return State{
-		Step: s.Step, ActiveEpoch: s.ActiveEpoch, Ballot: Ballot(s.Ballot), PromisedEpoch: s.PromisedEpoch,
+		Incarnation: s.Incarnation, Step: s.Step, ActiveEpoch: s.ActiveEpoch, Ballot: Ballot(s.Ballot), PromisedEpoch: s.PromisedEpoch,
 		PromisedStep: s.PromisedStep, Holding: s.Holding, Committed: s.Committed, Staged: s.Staged,
 	}
 }
@@ -71,7 +73,7 @@
 // Core converts a state from JSON.
 func (s State) Core() core.RankState {
 	return core.RankState{
-		Step: s.Step, ActiveEpoch: s.ActiveEpoch, Ballot: core.Ballot(s.Ballot), PromisedEpoch: s.PromisedEpoch,
+		Incarnation: s.Incarnation, Step: s.Step, ActiveEpoch: s.ActiveEpoch, Ballot: core.Ballot(s.Ballot), PromisedEpoch: s.PromisedEpoch,
 		PromisedStep: s.PromisedStep, Holding: s.Holding, Committed: s.Committed, Staged: s.Staged,
 	}
 }
--- a/core/process/group/rank.go
+++ b/core/process/group/rank.go
@@ -12,8 +12,8 @@
 )
 
 // Rank is one rank of a group. Beside the errors of core.Group it gives
-// trace.ConnectionProblem for calls that may have taken effect, and
-// trace.NotFound for maps that are not staged and ranks that have not joined.
+// trace.ConnectionProblem for calls that may have taken effect. Map gives
+// trace.NotFound for ranks that have not joined.
 type Rank struct {
 	Addr netip.AddrPort
 	Rank int
@@ -42,13 +42,13 @@
 }
 
 // Prepare implements core.Group.
-func (r *Rank) Prepare(ctx context.Context, ballot core.Ballot, epoch, step uint64) (core.RankState, error) {
-	return r.state(ctx, OpPrepare, Request{Ballot: Ballot(ballot), Epoch: epoch, Step: step})
+func (r *Rank) Prepare(ctx context.Context, ballot core.Ballot, incarnation, epoch, step uint64) (core.RankState, error) {
+	return r.state(ctx, OpPrepare, Request{Ballot: Ballot(ballot), Incarnation: incarnation, Epoch: epoch, Step: step})
 }
 
 // Decide implements core.Group.
-func (r *Rank) Decide(ctx context.Context, ballot core.Ballot, epoch, step uint64, commit bool) (core.RankState, error) {
-	return r.state(ctx, OpDecide, Request{Ballot: Ballot(ballot), Epoch: epoch, Step: step, Commit: commit})
+func (r *Rank) Decide(ctx context.Context, ballot core.Ballot, incarnation, epoch, step uint64, commit bool) (core.RankState, error) {
+	return r.state(ctx, OpDecide, Request{Ballot: Ballot(ballot), Incarnation: incarnation, Epoch: epoch, Step: step, Commit: commit})
 }
 
 // Load implements core.Group.
--- a/core/suite/group.go
+++ b/core/suite/group.go
@@ -17,6 +17,8 @@
 	Ranks []core.Group
 	// Map is the map with which the group starts.
 	Map *core.ExpertMap
+	// Replace puts a new engine process in the place of a rank's.
+	Replace func(rank int) error
 }
 
 // Group registers the specs of core.Group. open starts a group, and releases
@@ -48,7 +50,7 @@
 			for _, r := range g.Ranks {
 				_, err := r.Stage(ctx, b, next)
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
-				st, err := r.Prepare(ctx, b, next.Epoch, step)
+				st, err := r.Prepare(ctx, b, state(r).Incarnation, next.Epoch, step)
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
 				gomega.Expect(st.PromisedStep).To(gomega.Equal(step))
 			}
@@ -57,7 +59,7 @@
 		decide := func(b core.Ballot, step uint64, commit bool) {
 			ginkgo.GinkgoHelper()
 			for _, r := range g.Ranks {
-				_, err := r.Decide(ctx, b, next.Epoch, step, commit)
+				_, err := r.Decide(ctx, b, state(r).Incarnation, next.Epoch, step, commit)
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			}
 		}
@@ -92,8 +94,9 @@
 			runs()
 			gomega.Expect(epochs()).To(gomega.Equal(all(next.Epoch)))
 			decide(low, step, true)
-			_, err := g.Ranks[0].Decide(ctx, low, next.Epoch, step, false)
-			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			decide(low, step, false)
+			runs()
+			gomega.Expect(epochs()).To(gomega.Equal(all(next.Epoch)))
 		})
 
 		// Guards against switches that are given up and still happen.
@@ -103,7 +106,7 @@
 			decide(low, step, false)
 			gomega.Eventually(func() uint64 { return state(g.Ranks[0]).Step }, "10s").Should(gomega.BeNumerically(">", step))
 			gomega.Expect(epochs()).To(gomega.Equal(all(g.Map.Epoch)))
-			_, err := g.Ranks[0].Decide(ctx, low, next.Epoch, step, true)
+			_, err := g.Ranks[0].Decide(ctx, low, state(g.Ranks[0]).Incarnation, next.Epoch, step, true)
 			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
 		})
 
@@ -113,51 +116,111 @@
 			st, err := r.Inspect(ctx, high)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			gomega.Expect(st.Ballot).To(gomega.Equal(high))
+			_, err = r.Inspect(ctx, high)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
 			_, err = r.Inspect(ctx, low)
 			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
 			_, err = r.Stage(ctx, low, next)
 			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
-			_, err = r.Prepare(ctx, high, next.Epoch, st.Step+1000)
-			gomega.Expect(trace.IsNotFound(err)).To(gomega.BeTrue(), "%v", err)
+			inc := st.Incarnation
+			_, err = r.Prepare(ctx, high, inc, next.Epoch, st.Step+1000)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
 			moved, err := r.Stage(ctx, high, next)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			gomega.Expect(moved).To(gomega.BeNumerically(">", 0))
 			gomega.Expect(state(r).Staged).To(gomega.Equal([]uint64{next.Epoch}))
-			_, err = r.Prepare(ctx, high, next.Epoch, state(r).Step)
+			_, err = r.Prepare(ctx, high, inc, next.Epoch, state(r).Step)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			_, err = r.Prepare(ctx, low, inc, next.Epoch, st.Step+1000)
 			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
-			_, err = r.Prepare(ctx, low, next.Epoch, st.Step+1000)
+			_, err = r.Decide(ctx, low, inc, next.Epoch, st.Step+1000, true)
 			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
-			_, err = r.Decide(ctx, low, next.Epoch, st.Step+1000, true)
+			_, err = r.Prepare(ctx, high, inc+1, next.Epoch, st.Step+1000)
 			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			_, err = r.Decide(ctx, core.Ballot{Token: 3}, inc, next.Epoch, st.Step+1000, true)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			gomega.Expect(state(r).Ballot).To(gomega.Equal(high))
+			_, err = r.Stage(ctx, core.Ballot{Token: high.Token}, next)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			other := next.Clone()
 			other.Slots = other.Slots[1:]
 			_, err = r.Stage(ctx, high, other)
 			gomega.Expect(trace.IsBadParameter(err)).To(gomega.BeTrue(), "%v", err)
 		})
 
-		// Guards against a second promise that voids one already committed
-		// elsewhere.
-		ginkgo.It("keeps a promise until it is decided", func() {
+		// Guards against a committed switch that another promise replaces, and
+		// against an engine that keeps what no rank has committed.
+		ginkgo.It("keeps a committed switch and replaces a prepared one", func() {
 			r := g.Ranks[0]
-			step := state(r).Step + 2000
+			inc, step := state(r).Incarnation, state(r).Step+2000
 			for _, e := range []uint64{next.Epoch, next.Epoch + 1} {
 				m := next.Clone()
 				m.Epoch = e
 				_, err := r.Stage(ctx, low, m)
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			}
-			_, err := r.Prepare(ctx, low, next.Epoch, step)
+			_, err := r.Prepare(ctx, low, inc, next.Epoch+1, step)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
-			_, err = r.Prepare(ctx, high, next.Epoch, step)
+			st, err := r.Prepare(ctx, high, inc, next.Epoch, step+1)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
-			_, err = r.Prepare(ctx, high, next.Epoch+1, step)
+			gomega.Expect([]uint64{st.PromisedEpoch, st.PromisedStep}).To(gomega.Equal([]uint64{next.Epoch, step + 1}))
+			_, err = r.Decide(ctx, high, inc, next.Epoch+1, step, true)
 			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
-			_, err = r.Prepare(ctx, high, next.Epoch, step+1)
+			_, err = r.Decide(ctx, high, inc, next.Epoch, step+1, true)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = r.Prepare(ctx, high, inc, next.Epoch, step+1)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = r.Prepare(ctx, high, inc, next.Epoch+1, step+1)
 			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			_, err = r.Prepare(ctx, high, inc, next.Epoch, step)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			_, err = r.Decide(ctx, high, inc, next.Epoch, step+1, false)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			_, err = r.Decide(ctx, high, inc, next.Epoch, step, false)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(state(r).Committed).To(gomega.BeTrue())
 			other := g.Map.Clone()
 			other.Epoch = next.Epoch
 			_, err = r.Stage(ctx, high, other)
 			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
 		})
+
+		// Guards against a replaced rank that keeps a promise, obeys orders for its
+		// predecessor, joins on its own, or joins without a committed switch.
+		ginkgo.It("admits a replaced rank", func() {
+			step := prepare(low, 100)
+			decide(low, step, true)
+			r := g.Ranks[1]
+			old := state(r).Incarnation
+			gomega.Expect(g.Replace(1)).To(gomega.Succeed())
+			st := state(r)
+			gomega.Expect(st.Incarnation).NotTo(gomega.Equal(old))
+			gomega.Expect(st).To(gomega.Equal(core.RankState{Incarnation: st.Incarnation, Staged: []uint64{g.Map.Epoch}}))
+			_, err := r.Decide(ctx, low, old, g.Map.Epoch, 0, true)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			_, err = r.Decide(ctx, low, st.Incarnation, next.Epoch, 0, true)
+			gomega.Expect(trace.IsCompareFailed(err)).To(gomega.BeTrue(), "%v", err)
+			time.Sleep(50 * time.Millisecond)
+			at := state(g.Ranks[0]).Step
+			time.Sleep(20 * time.Millisecond)
+			gomega.Expect(state(g.Ranks[0]).Step).To(gomega.Equal(at))
+			_, err = r.Stage(ctx, low, next)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = r.Prepare(ctx, low, st.Incarnation, next.Epoch, step)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			for _, commit := range []bool{true, false, true} {
+				if commit {
+					_, err = r.Prepare(ctx, low, st.Incarnation, next.Epoch, step)
+					gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				}
+				_, err = r.Decide(ctx, low, st.Incarnation, next.Epoch, step, commit)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			gomega.Expect(state(r).ActiveEpoch).To(gomega.BeZero())
+			_, err = r.Decide(ctx, low, st.Incarnation, g.Map.Epoch, at, true)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Eventually(func() uint64 { return state(r).Step }, "10s").Should(gomega.BeNumerically(">", step))
+			gomega.Expect(epochs()).To(gomega.Equal(all(next.Epoch)))
+		})
 	})
 }
--- a/core/suite/ranks/control.go
+++ b/core/suite/ranks/control.go
@@ -76,13 +76,9 @@
 	return nil
 }
 
-// Replace puts a new rank in the place of one. It has no state. It joins at a
-// step boundary, once each other rank is ready for the step or holds before it:
-// then it loads the map that they use, and takes over a promise that they have
-// made, unless Settings.BareJoin is set. Without the promise no protocol could
-// keep the maps equal, because the outcome of a switch may be decided already.
-// If ranks that hold kept it from joining, a decider that waits for its
-// agreement before it tells the others would never get it.
+// Replace puts a new rank in the place of one. It has a new incarnation, no
+// promise, and only the map staged that the other ranks use. It takes part in no
+// step until Decide admits it; the others wait for it at their next step.
 func (g *Group) Replace(n int) error {
 	r, err := g.rank(n)
 	if err != nil {
@@ -90,9 +86,17 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r.state, r.staged = core.RankState{}, map[uint64]*placed{}
-	r.seen, r.seenSteps = matrix(g.Shape), 0
 	r.joining = true
+	newest := g.last
+	for _, o := range g.ranks {
+		// A rank that has switched already shows that the switch is committed.
+		if !o.joining && o.active.Epoch > newest.Epoch {
+			newest = o.active
+		}
+	}
+	r.state = core.RankState{Incarnation: r.state.Incarnation + 1}
+	r.staged = map[uint64]*placed{newest.Epoch: newest}
+	r.seen, r.seenSteps = matrix(g.Shape), 0
 	if r.arrived && !g.started {
 		r.arrived = false
 		g.arrived--
@@ -102,43 +106,6 @@
 	return nil
 }
 
-// join makes a replaced rank a member again, if all others are at the boundary.
-func (r *member) join() bool {
-	g := r.g
-	active, peers := g.last, []*member{}
-	for _, o := range g.ranks {
-		switch {
-		case o.joining:
-			continue
-		case !o.arrived && !o.state.Holding:
-			return false
-		}
-		peers = append(peers, o)
-		// A rank that has switched already shows that the switch is committed.
-		if len(peers) == 1 || o.active.Epoch > active.Epoch {
-			active = o.active
-		}
-	}
-	r.active = active
-	r.state.Step, r.state.ActiveEpoch = g.step, active.Epoch
-	r.joining = false
-	if g.Settings.BareJoin {
-		return true
-	}
-	for _, o := range peers {
-		s := o.state
-		if r.state.Ballot.Less(s.Ballot) {
-			r.state.Ballot = s.Ballot
-		}
-		if s.PromisedEpoch > active.Epoch {
-			r.state.PromisedEpoch, r.state.PromisedStep = s.PromisedEpoch, s.PromisedStep
-			r.state.Committed = r.state.Committed || s.Committed
-			r.staged[s.PromisedEpoch] = o.staged[s.PromisedEpoch]
-		}
-	}
-	return true
-}
-
 // Stats returns the statistics.
 func (g *Group) Stats() Stats {
 	g.mu.Lock()
--- a/core/suite/ranks/doc.go
+++ b/core/suite/ranks/doc.go
@@ -7,7 +7,7 @@
 // later steps can be promised. A rank that promised step S holds before S until
 // Decide tells the outcome.
 //
-// Stage does not raise the promised ballot, Prepare and Decide do. A rank that
-// was replaced has no state until it joins, and until then answers all calls but
-// Inspect and Load with trace.NotFound; see Group.Replace.
+// Stage does not raise the promised ballot; Prepare and Decide do if they
+// succeed. A map that is active already can be staged again, to no effect. A rank
+// that was replaced joins when Decide admits it; see Group.Replace.
 package ranks
--- a/core/suite/ranks/group.go
+++ b/core/suite/ranks/group.go
@@ -18,9 +18,6 @@
 	TokenUs float64 `json:"token_us"`
 	// StageMs is the time to load the weights of one expert, in milliseconds.
 	StageMs float64 `json:"stage_ms"`
-	// BareJoin makes a replaced rank take over the active map only, and not
-	// the promise that the other ranks have made.
-	BareJoin bool `json:"bare_join"`
 }
 
 func (s Settings) check() error {
@@ -139,6 +136,8 @@
 	g.load = matrix(g.Shape)
 	for n := range g.Shape.Ranks {
 		r := &member{g: g, n: n, active: initial, staged: map[uint64]*placed{}, seen: matrix(g.Shape)}
+		// Two processes that run one after the other differ in their incarnations.
+		r.state.Incarnation = uint64(time.Now().UnixNano())
 		r.state.Step, r.state.ActiveEpoch = g.step, initial.Epoch
 		g.ranks = append(g.ranks, r)
 	}
@@ -229,7 +228,7 @@
 		g.record.Stalled = true
 		return false
 	}
-	if r.joining && !r.join() {
+	if r.joining {
 		return false
 	}
 	if s := &r.state; s.PromisedEpoch != 0 && s.PromisedStep <= g.step {
@@ -237,8 +236,6 @@
 			if !s.Holding {
 				s.Holding = true
 				g.record.Held = true
-				// A replaced rank joins others that hold.
-				g.moved.Broadcast()
 			}
 			return false
 		}
@@ -257,7 +254,6 @@
 	if g.arrived == len(g.ranks) {
 		g.launch()
 	}
-	// A joining rank waits for the arrival of the others.
 	g.moved.Broadcast()
 }
 
@@ -352,6 +348,9 @@
 
 // count adds the load of a step to what the rank has seen.
 func (r *member) count() {
+	if r.joining {
+		return // it was replaced during the step
+	}
 	r.seenSteps++
 	for l, row := range r.g.load {
 		for _, e := range r.active.rank(l, r.n) {
--- a/core/suite/ranks/rank.go
+++ b/core/suite/ranks/rank.go
@@ -33,7 +33,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if r.joining {
-		return nil, r.absent()
+		return nil, trace.NotFound("the rank %d has not joined the group yet", n)
 	}
 	return r.active.Clone(), nil
 }
@@ -47,9 +47,10 @@
 	if b == (core.Ballot{}) {
 		return r.view(), nil
 	}
-	if err := r.promise(b); err != nil {
-		return r.view(), err
+	if !r.state.Ballot.Less(b) {
+		return r.view(), r.stale(b)
 	}
+	r.state.Ballot = b
 	return r.view(), nil
 }
 
@@ -74,11 +75,15 @@
 	if err := r.stageable(b, p); err != nil {
 		return 0, err
 	}
+	if s := &r.state; p.Epoch == s.ActiveEpoch {
+		return 0, nil
+	}
 	if r.staged[p.Epoch] == nil {
 		r.g.stats.Moved += moved
 	}
 	r.staged[p.Epoch] = p
-	for len(r.staged) > keepStaged {
+	// A joining rank keeps all maps, because it may be admitted with any.
+	for len(r.staged) > keepStaged && !r.joining {
 		oldest := slices.Min(slices.Collect(maps.Keys(r.staged)))
 		if oldest == r.state.PromisedEpoch {
 			break
@@ -97,7 +102,10 @@
 	}
 	moved := 0
 	for l := range p.Layers {
-		have := r.active.rank(l, r.n)
+		var have []uint32
+		if !r.joining {
+			have = r.active.rank(l, r.n)
+		}
 		for _, e := range p.rank(l, r.n) {
 			if !slices.Contains(have, e) {
 				moved++
@@ -109,68 +117,73 @@
 
 func (r *member) stageable(b core.Ballot, p *placed) error {
 	switch s := r.state; {
-	case r.joining:
-		return r.absent()
-	case b.Less(s.Ballot):
+	case b.Token < s.Ballot.Token:
 		return r.stale(b)
-	case p.Epoch <= s.ActiveEpoch:
+	case p.Epoch < s.ActiveEpoch || p.Epoch == 0:
 		return trace.CompareFailed("the epoch %d is not above the active one, %d", p.Epoch, s.ActiveEpoch)
+	case p.Epoch == s.ActiveEpoch && r.active.hash != p.hash:
+		return trace.CompareFailed("another map of epoch %d is active", p.Epoch)
 	case p.Epoch == s.PromisedEpoch && r.staged[p.Epoch].hash != p.hash:
 		return trace.CompareFailed("another map of epoch %d is promised", p.Epoch)
 	}
 	return nil
 }
 
-// Prepare implements core.Group. A map that is not staged is trace.NotFound.
-func (r *member) Prepare(_ context.Context, b core.Ballot, epoch, step uint64) (core.RankState, error) {
+// Prepare implements core.Group.
+func (r *member) Prepare(_ context.Context, b core.Ballot, incarnation, epoch, step uint64) (core.RankState, error) {
 	r.g.mu.Lock()
 	defer r.g.mu.Unlock()
 	s := &r.state
-	if r.joining {
-		return r.view(), r.absent()
-	}
-	if b.Less(s.Ballot) {
-		return r.view(), r.stale(b)
+	if err := r.current(b, incarnation); err != nil {
+		return r.view(), err
 	}
 	if s.PromisedEpoch == epoch && s.PromisedStep == step && epoch != 0 {
 		s.Ballot = b
 		return r.view(), nil
 	}
 	switch {
-	case s.PromisedEpoch != 0:
-		return r.view(), trace.CompareFailed("the switch to epoch %d at step %d is promised", s.PromisedEpoch, s.PromisedStep)
-	case step <= s.Step:
-		return r.view(), trace.CompareFailed("the step %d has passed; the rank is at %d", step, s.Step)
+	case s.Committed:
+		return r.view(), trace.CompareFailed("the switch to epoch %d at step %d is committed", s.PromisedEpoch, s.PromisedStep)
+	case !r.joining && step <= s.Step:
+		return r.view(), trace.CompareFailed("the step %d has begun; the rank is at %d", step, s.Step)
 	case r.staged[epoch] == nil:
-		return r.view(), trace.NotFound("no map of epoch %d is staged", epoch)
+		return r.view(), trace.CompareFailed("no map of epoch %d is staged above the active one, %d", epoch, s.ActiveEpoch)
 	}
-	s.Ballot, s.PromisedEpoch, s.PromisedStep = b, epoch, step
+	s.Ballot, s.PromisedEpoch, s.PromisedStep, s.Holding = b, epoch, step, false
+	// A rank that held for a switch that this one replaces goes on.
+	r.g.moved.Broadcast()
 	return r.view(), nil
 }
 
-// Decide implements core.Group. Repeating a decision has no effect.
-func (r *member) Decide(_ context.Context, b core.Ballot, epoch, step uint64, commit bool) (core.RankState, error) {
+// Decide implements core.Group. A joining rank can be admitted with a step that
+// the group has passed or is in.
+func (r *member) Decide(_ context.Context, b core.Ballot, incarnation, epoch, step uint64, commit bool) (core.RankState, error) {
 	r.g.mu.Lock()
 	defer r.g.mu.Unlock()
 	s := &r.state
-	if r.joining {
-		return r.view(), r.absent()
-	}
-	if err := r.promise(b); err != nil {
+	if err := r.current(b, incarnation); err != nil {
 		return r.view(), err
 	}
-	promised := s.PromisedEpoch == epoch && s.PromisedStep == step
+	prepared := s.PromisedEpoch == epoch && s.PromisedStep == step && epoch != 0
 	switch {
-	case commit && s.ActiveEpoch == epoch:
-	case commit && !promised:
-		return r.view(), trace.CompareFailed("the switch to epoch %d at step %d is not promised", epoch, step)
-	case commit:
-		s.Committed = true
-	case s.ActiveEpoch == epoch || promised && s.Committed:
+	case !commit && prepared && s.Committed && !r.joining:
 		return r.view(), trace.CompareFailed("the switch to epoch %d is committed", epoch)
-	case promised:
+	case !commit && prepared:
 		r.clear()
-	}
+	case !commit:
+	case s.ActiveEpoch >= epoch:
+	case prepared:
+		s.Committed = true
+	case !r.joining:
+		return r.view(), trace.CompareFailed("the switch to epoch %d at step %d is not prepared", epoch, step)
+	case r.staged[epoch] == nil || step > r.g.step:
+		return r.view(), trace.CompareFailed("the rank can not join with epoch %d at step %d", epoch, step)
+	default:
+		r.joining = false
+		r.use(epoch)
+		s.Step = r.g.step
+	}
+	s.Ballot = b
 	r.g.moved.Broadcast()
 	return r.view(), nil
 }
@@ -190,34 +203,35 @@
 	return out, nil
 }
 
-// promise raises the promised ballot.
-func (r *member) promise(b core.Ballot) error {
+// current checks that an order is neither stale nor for another incarnation.
+func (r *member) current(b core.Ballot, incarnation uint64) error {
 	if b.Less(r.state.Ballot) {
 		return r.stale(b)
 	}
-	r.state.Ballot = b
+	if incarnation != r.state.Incarnation {
+		return trace.CompareFailed("the incarnation is %d, not %d", r.state.Incarnation, incarnation)
+	}
 	return nil
 }
 
 func (r *member) stale(b core.Ballot) error {
-	return trace.CompareFailed("the ballot %+v is older than %+v", b, r.state.Ballot)
-}
-
-// absent is the failure of calls to a rank that joins. The caller asks again
-// later: an outcome must not be missed, because the rank takes over a promise.
-func (r *member) absent() error {
-	return trace.NotFound("the rank %d has not joined the group yet", r.n)
+	return trace.CompareFailed("the ballot %+v is stale, %+v is promised", b, r.state.Ballot)
 }
 
 // activate switches to the promised map.
 func (r *member) activate() {
-	r.active = r.staged[r.state.PromisedEpoch]
-	r.state.ActiveEpoch = r.active.Epoch
-	maps.DeleteFunc(r.staged, func(epoch uint64, _ *placed) bool { return epoch <= r.active.Epoch })
+	r.use(r.state.PromisedEpoch)
 	r.clear()
 	r.g.stats.Switches++
 }
 
+// use makes a staged map the active one.
+func (r *member) use(epoch uint64) {
+	r.active = r.staged[epoch]
+	r.state.ActiveEpoch = epoch
+	maps.DeleteFunc(r.staged, func(e uint64, _ *placed) bool { return e <= epoch })
+}
+
 func (r *member) clear() {
 	s := &r.state
 	s.PromisedEpoch, s.PromisedStep, s.Holding, s.Committed = 0, 0, false, false
--- a/fakes/process/grpsrv/server.go
+++ b/fakes/process/grpsrv/server.go
@@ -74,10 +74,10 @@
 		return r.Inspect(s.ctx, core.Ballot(in.Ballot))
 	}))
 	app.Post("/ranks/:rank/prepare", s.state(func(r core.Group, in group.Request) (core.RankState, error) {
-		return r.Prepare(s.ctx, core.Ballot(in.Ballot), in.Epoch, in.Step)
+		return r.Prepare(s.ctx, core.Ballot(in.Ballot), in.Incarnation, in.Epoch, in.Step)
 	}))
 	app.Post("/ranks/:rank/decide", s.state(func(r core.Group, in group.Request) (core.RankState, error) {
-		return r.Decide(s.ctx, core.Ballot(in.Ballot), in.Epoch, in.Step, in.Commit)
+		return r.Decide(s.ctx, core.Ballot(in.Ballot), in.Incarnation, in.Epoch, in.Step, in.Commit)
 	}))
 	app.Post("/ranks/:rank/stage", s.stage)
 	app.Post("/ranks/:rank/load", s.load)
