--- a/core/process/spread/node_test.go
+++ b/core/process/spread/node_test.go
@@ -314,3 +314,32 @@
 		}
 	})
 }
+
+// Guards against agents that hear of a change too late because all entries of
+// their zone, which are its relays, are frozen: a zone must be out after 3 s.
+func TestAgentsLearnWithoutTheirRelays(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(seed, 3, 2, 3)
+			f.startAll()
+			defer f.stopAll()
+			_, err := f.within(5 * time.Second)
+			must(t, err)
+			for _, inst := range f.list {
+				if inst.Zone == f.list[0].Zone && inst.Role == core.RoleEntry {
+					f.stop(inst)
+				}
+			}
+			for i := range 5 {
+				f.write(team(i), false)
+				must(t, f.run(3*time.Second))
+				want := f.at(len(f.log))[team(i)].Version
+				for _, inst := range f.list {
+					if n := f.nodes[inst.Name]; inst.Role == core.RoleAgent && n.Version(team(i)) != want {
+						t.Fatalf("seed %d: %s has version %d instead of %d after 3 s", seed, inst.Name, n.Version(team(i)), want)
+					}
+				}
+			}
+		})
+	}
+}
