--- a/core/process/spread/doc.go
+++ b/core/process/spread/doc.go
@@ -5,7 +5,8 @@
 // Up to three entries of each zone, the watchers, hold a watch at the store
 // and relist at intervals. They push changes at once to all peers of their
 // zone and to two instances of every other zone, whose watchers pass them on
-// to their own zone. Every node exchanges digests with one random peer each
+// to their own zone. If neither takes a change, a few other instances of that
+// zone get it. Every node exchanges digests with one random peer each
 // second and fetches what differs, so pushes may be lost. The platform's
 // instance list travels as one object of kind core.KindRoster whose version is
 // the list's revision.
