--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -57,10 +57,25 @@
     -d "{\"name\":\"$1\",\"role\":\"$2\",\"zone\":\"$3\",\"peer\":\"$4\",\"leaving\":false}"
 }
 
-# upstreams prints name, service, zone and agent of each declared upstream.
+# upstreams prints name, service, zone, agent, group and rank of each declared
+# upstream; group and rank are - for upstreams that are no ranks.
 upstreams() {
-  awk -F'"' '/^\[\[upstream\]\]/ {n=s=z=a=""} /^name/ {n=$2} /^service/ {s=$2} /^zone/ {z=$2}
-    /^agent/ {a=$2; print n, s, z, a}' "examples/$deployment/upstreams.toml"
+  awk -F'"' 'function flush() {if (n != "") print n, s, z, a, g, r}
+    /^\[\[upstream\]\]/ {flush(); n=s=z=a=""; g=r="-"} /^name/ {n=$2} /^service/ {s=$2} /^zone/ {z=$2}
+    /^agent/ {a=$2} /^group/ {g=$2} /^rank/ {sub(/rank *= */, ""); r=$0} END {flush()}' "examples/$deployment/upstreams.toml"
+}
+
+# groups starts the stand-in of each group of ranks, which have 8 layers, 64
+# experts a layer and 20 slots a rank and layer, and writes their addresses.
+groups() {
+  local port=7600 name ranks
+  upstreams | awk '$5 != "-" {n[$5]++} END {for (g in n) print g, n[g]}' | sort | while read -r name ranks; do
+    port=$((port + 1))
+    start "$name" fakes group --listen "127.0.0.1:$port" \
+      --set "{\"layers\":8,\"ranks\":$ranks,\"slots_per_rank\":20,\"experts\":64,\"base_ms\":10}"
+    wait_for "http://127.0.0.1:$port/control/stats"
+    echo "$name 127.0.0.1:$port" >>"$dir/groups"
+  done
 }
 
 up() {
@@ -68,7 +83,9 @@
   : >"$dir/pids"
   start platform fakes platform --listen "$platform" ${PLATFORM_FLAGS:-}
   wait_for "http://$platform/control/stats"
-  while read -r name service zone agent; do
+  : >"$dir/groups"
+  groups
+  while read -r name service zone agent group rank; do
     local backend=127.0.0.1:$((${agent#*:} + 1000)) kind=engine flags=${ENGINE_FLAGS:-}
     case $service in *-desk) kind=plain flags=${PLAIN_FLAGS:-} ;; esac
     # shellcheck disable=SC2086
@@ -77,6 +94,9 @@
       settings "agent-$name" "$zone"
       printf 'listen = "%s"\nupstream = "%s"\n[platform]\naddress = "%s"\n' "$agent" "$name" "$platform"
       printf '[engine]\nkind = "%s"\naddress = "%s"\n' "$kind" "$backend"
+      if [ "$group" != - ]; then
+        printf 'group = "%s"\nrank = %d\n' "$(awk -v g="$group" '$1 == g {print $2}' "$dir/groups")" "$rank"
+      fi
     } >"$dir/agent-$name.toml"
     start "agent-$name" agent --settings "$dir/agent-$name.toml"
     list "agent-$name" agent "$zone" "$agent"
