--- a/agent/main.go
+++ b/agent/main.go
@@ -4,51 +4,20 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/go-kit/log/level"
-	"github.com/spf13/cobra"
+	"github.com/go-kit/log"
 
 	"parsleyroute.example/agent/serve"
-	"parsleyroute.example/core/process/conf"
-	"parsleyroute.example/core/process/logs"
+	"parsleyroute.example/core/process/start"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := command().ExecuteContext(ctx); err != nil {
-		_ = level.Error(logs.New(os.Stderr, "agent", "", "")).Log("msg", "the program failed", "err", err.Error())
-		stop()
-		os.Exit(1)
-	}
-}
-
-func command() *cobra.Command {
-	var path string
-	var checkOnly bool
-	cmd := &cobra.Command{
-		Use:           "agent --settings FILE",
-		Short:         "Guard one upstream",
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var s serve.Settings
-			if err := conf.Load(path, &s); err != nil {
-				return err
-			}
-			if err := s.Check(); err != nil || checkOnly {
-				return err
-			}
-			s.LimitProcs()
-			a := &serve.Agent{Settings: s, Logger: logs.New(os.Stdout, "agent", s.Instance, s.Level)}
-			return a.Run(cmd.Context())
+	p := &start.Program[*serve.Settings]{
+		Name:  "agent",
+		Short: "Guard one upstream",
+		Run: func(ctx context.Context, s *serve.Settings, logger log.Logger) error {
+			return (&serve.Agent{Settings: *s, Logger: logger}).Run(ctx)
 		},
 	}
-	cmd.Flags().StringVar(&path, "settings", "agent.toml", "settings file")
-	cmd.Flags().BoolVar(&checkOnly, "check", false, "check the settings and exit")
-	return cmd
+	p.Main(&serve.Settings{})
 }
--- a/agent/serve/agent.go
+++ b/agent/serve/agent.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"fmt"
 	"net/http"
 	"slices"
@@ -29,6 +27,7 @@
 	"parsleyroute.example/core/process/objapi"
 	"parsleyroute.example/core/process/ramp"
 	"parsleyroute.example/core/process/spread"
+	"parsleyroute.example/core/process/start"
 	"parsleyroute.example/core/request/claim"
 	"parsleyroute.example/core/request/codec"
 	"parsleyroute.example/core/request/frame"
@@ -64,7 +63,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	a.incarnation = newIncarnation()
+	a.incarnation = start.Incarnation()
 	a.build(base)
 	srv := &server.Server{App: a.app(), Listen: a.Settings.Listen}
 	if err := srv.Start(); err != nil {
@@ -85,14 +84,6 @@
 	return err
 }
 
-// newIncarnation returns a number that no earlier process of the instance has
-// used. Zero stands for an unknown incarnation.
-func newIncarnation() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	return max(1, binary.BigEndian.Uint64(b[:])>>1)
-}
-
 // build wires the parts. base bounds all work of the process.
 func (a *Agent) build(base context.Context) {
 	s := &a.Settings
--- a/core/process/conf/node.go
+++ b/core/process/conf/node.go
@@ -76,6 +76,9 @@
 	return trace.BadParameter("setting level: %q is not debug, info, warn or error", n.Level)
 }
 
+// Shared returns n itself, for programs that embed it in their settings.
+func (n *Node) Shared() *Node { return n }
+
 // LimitProcs applies the setting procs to the process. The environment variable
 // GOMAXPROCS goes before the default.
 func (n *Node) LimitProcs() {
--- a/entry/serve/entry.go
+++ b/entry/serve/entry.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -25,6 +23,7 @@
 	"parsleyroute.example/core/process/conf"
 	"parsleyroute.example/core/process/objapi"
 	"parsleyroute.example/core/process/spread"
+	"parsleyroute.example/core/process/start"
 	"parsleyroute.example/core/request/admit"
 	"parsleyroute.example/core/request/claim"
 	"parsleyroute.example/core/request/retry"
@@ -123,7 +122,7 @@
 	e.router = do.MustInvoke[*flow.Router](i)
 	e.node = do.MustInvoke[*spread.Node](i)
 	e.leader = &lead.Leader{
-		Self: s.Instance, Holder: fmt.Sprintf("%s/%x", s.Instance, newIncarnation()), Key: s.Key,
+		Self: s.Instance, Holder: fmt.Sprintf("%s/%x", s.Instance, start.Incarnation()), Key: s.Key,
 		Store: e.store, Clock: e.clock, Logger: e.Logger,
 	}
 	e.explainer = do.MustInvoke[*flow.Explainer](i)
@@ -141,7 +140,7 @@
 		Seeds:       s.Seeds,
 		Peers:       do.MustInvoke[*spread.HTTPPeers](i),
 		Key:         s.Key,
-		Incarnation: newIncarnation(),
+		Incarnation: start.Incarnation(),
 		Logger:      e.Logger,
 		OnChange:    e.apply,
 	}, nil
@@ -174,17 +173,11 @@
 			Store:  do.MustInvoke[core.Store](i),
 			Agents: flow.Agents{Links: pooled},
 			Clock:  c,
-			Writer: fmt.Sprintf("%s/%x", s.Instance, newIncarnation()),
+			Writer: fmt.Sprintf("%s/%x", s.Instance, start.Incarnation()),
 		},
 	}, nil
 }
 
-func newIncarnation() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	return max(1, binary.BigEndian.Uint64(b[:])>>1)
-}
-
 // apply puts changed objects in force.
 func (e *Entry) apply([]core.Object) {
 	table, errs := e.rules.Compile(e.node.Objects())
