--- a/agent/serve/ranks.go
+++ b/agent/serve/ranks.go
@@ -14,9 +14,7 @@
 	"github.com/twitchtv/twirp"
 
 	"parsleyroute.example/core"
-	"parsleyroute.example/core/process/spread"
 	"parsleyroute.example/core/version/commit"
-	"parsleyroute.example/core/wire"
 )
 
 // rankTimeout bounds a call to another rank's agent.
@@ -110,7 +108,7 @@
 			client.CloseIdleConnections()
 		}
 	}
-	h := spread.RequirePeerKey(r.key, wire.NewRanksServer(s))
+	h := s.Handler(r.key)
 	r.handler.Store(&h)
 	_ = level.Info(r.logger).Log("msg", "serving a rank", "group", m.group, "rank", m.own, "ranks", len(m.agents))
 	return stop
--- a/core/version/commit/wire.go
+++ b/core/version/commit/wire.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"net/http"
 	"time"
 
@@ -10,13 +9,11 @@
 	"github.com/twitchtv/twirp"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/spread"
 	"parsleyroute.example/core/version/expert"
 	"parsleyroute.example/core/wire"
 )
 
-// KeyHeader is the HTTP header that carries the peer key.
-const KeyHeader = "X-Peer-Key"
-
 // Server serves wire.Ranks for one rank. Decider is nil on all ranks but 0.
 type Server struct {
 	Group   string
@@ -24,16 +21,9 @@
 	Decider *Decider
 }
 
-// Handler returns the HTTP handler; calls without the peer key get 401.
+// Handler returns the HTTP handler; calls without the peer key are refused.
 func (s *Server) Handler(key string) http.Handler {
-	h := wire.NewRanksServer(s)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if subtle.ConstantTimeCompare([]byte(r.Header.Get(KeyHeader)), []byte(key)) != 1 {
-			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "wrong peer key"))
-			return
-		}
-		h.ServeHTTP(w, r)
-	})
+	return spread.RequirePeerKey(key, wire.NewRanksServer(s))
 }
 
 func (s *Server) check(group string) error {
@@ -135,7 +125,7 @@
 
 func (c *Client) context(ctx context.Context) context.Context {
 	// It fails only for reserved headers.
-	out, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{KeyHeader: {c.key}})
+	out, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{spread.PeerKeyHeader: {c.key}})
 	if err != nil {
 		return ctx
 	}
