Lengthen the leader's rounds where placements are slow

Cause: a placement for 256 ranks, 64 experts and 60 layers takes 0.43 to 0.84 s (docs/placement.md), so rounds of 1 s would take up to 84% of a core of the entry that leads; a node may spend 1.5% on control. Change: the pause is 66 times the last placement, from 1 s to 10 s. At that size the leader still takes 4 to 8% of a core, because a shift must be answered within ten seconds; docs/CAPACITY.md says so.

--- a/core/version/rebal/rebal.go
+++ b/core/version/rebal/rebal.go
@@ -51,8 +51,9 @@
 	Writer string
 	// Average averages the loads.
 	Average expert.Decay
-	// Round is the time between rounds; zero means 1 s.
-	Round time.Duration
+	// Round is the least time between rounds; zero means 1 s. Slow placements
+	// lengthen it up to MaxRound, which is 10 s if zero.
+	Round, MaxRound time.Duration
 	// Check is the time between looks at the lease while a round runs; zero
 	// means 50 ms.
 	Check time.Duration
@@ -70,6 +71,8 @@
 	current *core.ExpertMap
 	nonce   uint64
 	last    time.Time
+	// placing is the time that the last placement took.
+	placing time.Duration
 }
 
 // Run makes rounds until ctx ends or Close is called.
@@ -88,12 +91,24 @@
 				_ = level.Warn(c.Logger).Log("msg", "rebalancing round failed", "group", c.Group, "err", err)
 			}
 		}
-		if c.Clock.Sleep(ctx, orDefault(c.Round, time.Second)) != nil {
+		if c.Clock.Sleep(ctx, c.pause()) != nil {
 			return nil
 		}
 	}
 }
 
+// placeShare is the inverse of the share of a core that placements may take:
+// 1.5% is what a node may spend on control.
+const placeShare = 66
+
+// pause returns the time to the next round. MaxRound goes before the share of
+// a core, because a shift of the load must be answered within seconds.
+func (c *Controller) pause() time.Duration {
+	least := orDefault(c.Round, time.Second)
+	most := max(least, orDefault(c.MaxRound, 10*time.Second))
+	return min(max(least, placeShare*c.placing), most)
+}
+
 // Close ends Run and waits for it.
 func (c *Controller) Close() {
 	c.mu.Lock()
@@ -209,7 +224,9 @@
 	if err != nil || load == nil {
 		return err
 	}
+	start := c.Clock.Now()
 	next := c.Placer.Place(c.current, load)
+	c.placing = c.Clock.Now().Sub(start)
 	if next == nil {
 		meter.Event("rebal_kept")
 		return nil
