Keep a watcher's reads of large lists within the bandwidth for control

Cause: at the size designed for, worked out, a relist of some 9,400 objects is 3.3 MB each minute (55 KB/s), and the list of 980 instances is over 100 KB each 2 s (over 50 KB/s); a node may spend 26 KB/s on control. Ruled out: fewer watchers (each reads the whole list however many there are). Change: relists come at most so often that they read 5 KB/s, and the list of instances is read with the known revision and comes back empty if unchanged. After, worked out: relists 5 KB/s, lists below 0.2 KB/s while unchanged.

--- a/core/process/objapi/body.go
+++ b/core/process/objapi/body.go
@@ -65,9 +65,11 @@
 	Leaving bool           `json:"leaving,omitempty"`
 }
 
-// Instances answers a request for the list of instances.
+// Instances answers a request for the list of instances. Unchanged is set, and
+// the list left out, if the request named the present revision as known.
 type Instances struct {
 	Revision  uint64     `json:"revision"`
+	Unchanged bool       `json:"unchanged,omitempty"`
 	Instances []Instance `json:"instances"`
 }
 
--- a/core/process/objapi/lister.go
+++ b/core/process/objapi/lister.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"net/netip"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,13 +16,16 @@
 )
 
 // Lister reads the list of instances. It counts each request in the event
-// list_read.
+// list_read. It names the revision that it has, so that an unchanged list,
+// which is over 100 KB at 1,000 instances, is not sent again.
 type Lister struct {
 	Addr netip.AddrPort
 	// Timeout bounds one request; the default is 2 s.
 	Timeout time.Duration
 
 	conn rest.Client
+	mu   sync.Mutex // guards last
+	last Instances
 }
 
 var _ core.Lister = (*Lister)(nil)
@@ -28,10 +33,20 @@
 // Instances implements core.Lister.
 func (l *Lister) Instances(ctx context.Context) ([]core.Instance, uint64, error) {
 	meter.Event("list_read")
+	l.mu.Lock()
+	last := l.last
+	l.mu.Unlock()
 	var body Instances
-	if err := l.conn.Call(ctx, l.Addr, cmp.Or(l.Timeout, 2*time.Second), fasthttp.MethodGet, PathInstances, nil, nil, &body); err != nil {
+	query := map[string]string{"known": strconv.FormatUint(last.Revision, 10)}
+	if err := l.conn.Call(ctx, l.Addr, cmp.Or(l.Timeout, 2*time.Second), fasthttp.MethodGet, PathInstances, query, nil, &body); err != nil {
 		return nil, 0, err
 	}
+	if body.Unchanged && body.Revision == last.Revision {
+		body = last
+	}
+	l.mu.Lock()
+	l.last = body
+	l.mu.Unlock()
 	list := make([]core.Instance, len(body.Instances))
 	for i, in := range body.Instances {
 		list[i] = core.Instance(in)
--- a/core/process/spread/node.go
+++ b/core/process/spread/node.go
@@ -57,7 +57,8 @@
 	// message, unless a single object is larger; default 1 MB.
 	MaxMessage int
 
-	// RelistPeriod is the time between a watcher's lists; default 60 s.
+	// RelistPeriod is the least time between a watcher's lists; default 60 s.
+	// Large lists are read less often.
 	RelistPeriod time.Duration
 	// RosterPeriod is the time between a watcher's reads of the instance list;
 	// default 2 s.
@@ -85,7 +86,8 @@
 	slots  chan struct{}
 	tasks  sync.WaitGroup
 	state  atomic.Pointer[state]
-	mu     sync.Mutex // guards running and closed
+	listed atomic.Int64 // size of the last list in bytes
+	mu     sync.Mutex   // guards running and closed
 	runs   bool
 	closed bool
 }
--- a/core/process/spread/watch.go
+++ b/core/process/spread/watch.go
@@ -90,7 +90,7 @@
 // watch has missed something.
 func (n *Node) relistLoop(ctx context.Context) {
 	rng := n.random("relist")
-	for n.Clock.Sleep(ctx, jitter(rng, n.RelistPeriod)) == nil {
+	for n.Clock.Sleep(ctx, jitter(rng, n.relistPeriod())) == nil {
 		if n.Watcher() {
 			if _, err := n.relist(ctx); err != nil {
 				meter.Event("control_store_errors")
@@ -99,6 +99,21 @@
 	}
 }
 
+const (
+	// relistRate bounds the bytes a second that relists read. At 10,000 objects
+	// a relist each minute would take 55 KB/s of the 26 KB/s that a node may
+	// spend on control.
+	relistRate = 5000
+	// objectOverhead is the part of an object on the wire beside its value.
+	objectOverhead = 160
+)
+
+// relistPeriod returns the time between relists, which grows with the size of
+// the last one.
+func (n *Node) relistPeriod() time.Duration {
+	return max(n.RelistPeriod, time.Duration(n.listed.Load())*time.Second/relistRate)
+}
+
 // relist merges a full list from the store and returns its revision.
 func (n *Node) relist(ctx context.Context) (uint64, error) {
 	lctx, cancel := context.WithTimeout(ctx, n.StoreTimeout)
@@ -107,6 +122,11 @@
 	if err != nil {
 		return 0, err
 	}
+	size := 0
+	for _, obj := range objects {
+		size += len(obj.Value)*4/3 + objectOverhead
+	}
+	n.listed.Store(int64(size))
 	return revision, n.do(ctx, func(o *owner) { o.relist(objects, revision) })
 }
 
--- a/fakes/process/objsrv/objsrv_test.go
+++ b/fakes/process/objsrv/objsrv_test.go
@@ -154,3 +154,27 @@
 	Expect(fasthttp.DoTimeout(req, resp, 2*time.Second)).To(Succeed())
 	return resp.StatusCode()
 }
+
+var _ = Describe("the list of instances", func() {
+	// Guards against a list that is sent whole although the reader has it, and
+	// against a reader that keeps an old one.
+	It("sends an unchanged list once", func() {
+		srv := &objsrv.Server{}
+		Expect(srv.Start()).To(Succeed())
+		DeferCleanup(srv.Close)
+		lister := &objapi.Lister{Addr: srv.Addr()}
+		add := func(name string) {
+			Expect(put(srv.Addr(), "/control/instances", `{"name":"`+name+`","role":"entry","zone":"a","peer":"127.0.0.1:7"}`)).To(Equal(200))
+		}
+		add("a")
+		for range 2 {
+			list, _, err := lister.Instances(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(list).To(HaveLen(1))
+		}
+		add("b")
+		list, _, err := lister.Instances(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(list).To(HaveLen(2))
+	})
+})
--- a/fakes/process/objsrv/server.go
+++ b/fakes/process/objsrv/server.go
@@ -353,6 +353,9 @@
 	if err != nil {
 		return err
 	}
+	if revision != 0 && c.Query("known") == strconv.FormatUint(revision, 10) {
+		return c.JSON(objapi.Instances{Revision: revision, Unchanged: true})
+	}
 	out := objapi.Instances{Revision: revision, Instances: make([]objapi.Instance, len(list))}
 	for i, in := range list {
 		out.Instances[i] = objapi.Instance(in)
