Test switches of the expert map with real processes

Four agents guard the ranks of one group stand-in, and two entries contend for the lease. Agents are killed and paused, an engine is replaced while no leader works, and the leading entry is paused past its lease and later killed. No step may be mixed, the group must step again within 15 s after each fault, and further switches must be made.

--- a/fakes/system/harness_test.go
+++ b/fakes/system/harness_test.go
@@ -131,7 +131,9 @@
 	upstream   string
 	kind       string // of the stand-in: engine or plain
 	args       []string
-	engine     *process
+	// engineSettings are further lines of the agent's table engine.
+	engineSettings string
+	engine         *process
 	// shut tells the load that the platform's balancer sends the entry no more
 	// callers.
 	shut atomic.Bool
@@ -216,7 +218,7 @@
 	n.engine = program(c.dir, n.upstream, append([]string{"fakes", n.kind, "--listen", n.backend.String()}, n.args...)...)
 	c.waitOpen(n.backend)
 	path := c.settings(n, fmt.Sprintf("listen = %q\nupstream = %q\n", n.listen, n.upstream),
-		fmt.Sprintf("[engine]\nkind = %q\naddress = %q\n", n.kind, n.backend))
+		fmt.Sprintf("[engine]\nkind = %q\naddress = %q\n%s", n.kind, n.backend, n.engineSettings))
 	n.process = program(c.dir, n.name, "agent", "--settings", path)
 	c.list(n, core.RoleAgent, false)
 }
--- /dev/null
+++ b/fakes/system/map_test.go
@@ -0,0 +1,159 @@
+package system_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/suite/ranks"
+)
+
+// goesOn is the limit after which a group steps again once a fault has ended.
+const goesOn = 15 * time.Second
+
+// ranked is a cluster whose upstreams are the ranks of one group.
+type ranked struct {
+	*cluster
+	group netip.AddrPort
+	seed  uint64
+}
+
+func newRanked(n int) *ranked {
+	r := &ranked{group: freePort()}
+	s := shape{
+		zones: []string{"a"}, entries: 2, limit: 4, cold: 4,
+		extraDeclaration: "[[service]]\nname = \"experts\"\nlayers = 2\nexperts = 8\nslots = 3\nroutes = [{prefix = \"/\", repeatable = true}]\n",
+	}
+	var agents []*node
+	for i := range n {
+		a := &node{
+			name: fmt.Sprintf("agent-rank-%d", i), zone: "a", listen: freePort(), backend: freePort(),
+			upstream: fmt.Sprintf("rank-%d", i), kind: "engine", engineSettings: fmt.Sprintf("group = %q\nrank = %d\n", r.group, i),
+		}
+		a.peer = a.listen
+		agents = append(agents, a)
+		s.extraDeclaration += fmt.Sprintf("[[upstream]]\nname = %q\nservice = \"experts\"\nzone = \"a\"\nagent = %q\ngroup = \"g\"\nrank = %d\nlimit = 4\ncold = 4\n",
+			a.upstream, a.listen, i)
+	}
+	r.cluster = newCluster(s)
+	program(r.dir, "group", "fakes", "group", "--listen", r.group.String(), "--set",
+		fmt.Sprintf(`{"layers":2,"ranks":%d,"slots_per_rank":3,"experts":8,"base_ms":2,"token_us":20,"stage_ms":5}`, n))
+	r.waitOpen(r.group)
+	for _, a := range agents {
+		r.startAgent(a)
+		r.agents = append(r.agents, a)
+	}
+	r.waitReady()
+	return r
+}
+
+func (r *ranked) groupStats() ranks.Stats {
+	GinkgoHelper()
+	var st ranks.Stats
+	r.stats(r.group, "/control/stats", &st)
+	return st
+}
+
+// shift changes which experts are hot, so that the leader moves them.
+func (r *ranked) shift() {
+	r.seed++
+	r.control(r.group, http.MethodPut, "/control/load", map[string]any{"zipf": 1.4, "tokens": 400, "seed": r.seed})
+}
+
+// expectSteps checks that the group makes steps within the limit, none mixed.
+func (r *ranked) expectSteps(limit time.Duration) {
+	GinkgoHelper()
+	from := r.groupStats().Steps
+	Eventually(func() int { return r.groupStats().Steps }, limit, "20ms").Should(BeNumerically(">", from+20))
+	Expect(r.groupStats().Mixed).To(BeEmpty())
+}
+
+// expectSwitch shifts the load until the leader has made another switch on all
+// ranks.
+func (r *ranked) expectSwitch(limit time.Duration) {
+	GinkgoHelper()
+	from := r.groupStats().Switches
+	next := time.Now()
+	Eventually(func() int {
+		if time.Now().After(next) {
+			r.shift()
+			next = time.Now().Add(4 * time.Second)
+		}
+		return r.groupStats().Switches
+	}, limit, "50ms").Should(BeNumerically(">=", from+len(r.agents)))
+	Expect(r.groupStats().Mixed).To(BeEmpty())
+}
+
+// leader returns the entry that holds the group's lease.
+func (r *ranked) leader() *node {
+	GinkgoHelper()
+	var out *node
+	Eventually(func() *node {
+		o, err := r.store.Get(GinkgoT().Context(), core.Key{Kind: core.KindLease, Name: "g"})
+		if err != nil {
+			return nil
+		}
+		for _, e := range r.entries {
+			if strings.HasPrefix(o.Writer, e.name+"/") {
+				out = e
+			}
+		}
+		return out
+	}, "30s", "50ms").ShouldNot(BeNil())
+	return out
+}
+
+var _ = Describe("expert map", func() {
+	// Guards against mixed steps and a group that stays held when an agent, the
+	// decider or the leader dies or is paused in the middle of its work.
+	It("is switched by the leader and survives faults of agents and entries", func() {
+		r := newRanked(4)
+		By("a switch without faults")
+		r.expectSwitch(40 * time.Second)
+		for _, rank := range []int{0, 2} {
+			a := r.agents[rank]
+			By("a dead agent of rank " + fmt.Sprint(rank))
+			r.shift()
+			time.Sleep(500 * time.Millisecond)
+			a.kill()
+			time.Sleep(time.Second)
+			a.start(r.dir)
+			r.expectSteps(goesOn)
+			By("a paused agent of rank " + fmt.Sprint(rank))
+			r.shift()
+			time.Sleep(700 * time.Millisecond)
+			a.signal(syscall.SIGSTOP)
+			time.Sleep(3 * time.Second)
+			a.signal(syscall.SIGCONT)
+			r.expectSteps(goesOn)
+			r.expectSwitch(40 * time.Second)
+		}
+		By("a leader that is paused past its lease")
+		old := r.leader()
+		r.shift()
+		old.signal(syscall.SIGSTOP)
+		// The decider admits an engine without a leader: the lease lasts 10 s.
+		time.Sleep(500 * time.Millisecond)
+		r.control(r.group, http.MethodPost, "/control/replace", map[string]any{"rank": 1})
+		r.expectSteps(5 * time.Second)
+		Eventually(r.leader, 40*time.Second, "100ms").ShouldNot(BeIdenticalTo(old))
+		r.expectSteps(goesOn)
+		r.expectSwitch(40 * time.Second)
+		old.signal(syscall.SIGCONT)
+		r.expectSteps(goesOn)
+		r.expectSwitch(40 * time.Second)
+		Expect(r.leader()).NotTo(BeIdenticalTo(old))
+		By("a dead leader")
+		r.leader().kill()
+		r.expectSteps(goesOn)
+		r.expectSwitch(40 * time.Second)
+		Expect(r.groupStats().MixedSteps).To(BeZero())
+	})
+})
