Give no two expert maps the same epoch

A rank does not show a map that it still loads, so a leader could give the epoch of that map to another one: its predecessor's, or its own of a round that failed. If the older map was loaded last on one rank, the switch activated different maps under one epoch. Epochs now begin above token << 20 and never repeat within a term.

--- a/core/version/rebal/rebal.go
+++ b/core/version/rebal/rebal.go
@@ -24,6 +24,9 @@
 	Held() (token uint64, ok bool)
 }
 
+// epochBits leaves each token about a million epochs of its own.
+const epochBits = 20
+
 // Rank is a rank's agent as the leader meets it; commit.Client is one.
 type Rank interface {
 	Inspect(ctx context.Context, ballot core.Ballot) (core.RankState, error)
@@ -70,6 +73,7 @@
 	current *core.ExpertMap
 	nonce   uint64
 	last    time.Time
+	used    uint64 // last epoch given to a map
 }
 
 // Run makes rounds until ctx ends or Close is called.
@@ -281,7 +285,11 @@
 
 // apply stages m under an epoch above newest, switches to it and records it.
 func (c *Controller) apply(ctx context.Context, m *core.ExpertMap, newest uint64) error {
-	m.Epoch = max(newest, c.current.Epoch) + 1
+	// No two maps get the same epoch, not even those of two leaders: a rank may
+	// still load a map that a lost leader has staged, and would use it in place
+	// of this one.
+	m.Epoch = max(newest, c.current.Epoch, c.used, c.token<<epochBits) + 1
+	c.used = m.Epoch
 	if err := c.checkLease(); err != nil {
 		return err
 	}
