Do not act for callers that have gone

Cause: when a caller goes away, its stream from the agent is closed, which the code took for a stream that broke. A resumable stream was dispatched again, for nobody, and a non-idempotent request marked its agent as lost, so other callers kept away from it for 250 ms and more. Ruled out: repeatable requests before their first byte, which look at the caller first. Change: resume and the failure of a claimed attempt look at the caller first. Before: both new tests fail (a dispatch, an agent that is not usable); after: both pass.

--- a/entry/flow/dispatch.go
+++ b/entry/flow/dispatch.go
@@ -182,7 +182,7 @@
 // after a pause, because a connection that has just broken can often not be
 // made again at once, and the agent may still hold the place of the old one.
 func (b *body) resume() bool {
-	if !b.resumable || trace.IsBadParameter(b.err) {
+	if !b.resumable || b.ctx.Err() != nil || trace.IsBadParameter(b.err) {
 		return false
 	}
 	if refusal, ok := core.AsRefusal(b.err); ok && refusal.Reason == core.ReasonCorruptAnswer {
--- a/entry/flow/once.go
+++ b/entry/flow/once.go
@@ -197,6 +197,11 @@
 
 // failed decides what follows when a dispatched attempt gave no answer.
 func (o *once) failed(ctx context.Context, p *place, err error) (*Answer, error) {
+	if ctx.Err() != nil {
+		// The stream was closed because the caller went away. The agent runs
+		// the attempt to its end, and the claim gets its outcome.
+		return nil, &core.Refusal{Reason: core.ReasonCanceled, Run: core.RunUnknown, Message: "the caller went away"}
+	}
 	refusal := o.router.noteFailure(o.trip, p, err)
 	if refusal.Run == core.RunNo {
 		// Agents leave a tombstone for each claimed dispatch that they refuse.
