--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -78,7 +78,6 @@
 		ReadBufferSize:    16 << 10,
 		ReadTimeout:       time.Minute,
 		IdleTimeout:       time.Minute,
-		DisableKeepalive:  false,
 	}
 }
 
@@ -93,7 +92,8 @@
 
 func (f *Front) ready(c fiber.Ctx) error {
 	if !f.Ready() {
-		return refuse(c, "", core.Refuse(core.ReasonNotReady, "the entry takes no requests"))
+		// Not counted: the balancer asks all the time.
+		return c.Status(fiber.StatusServiceUnavailable).JSON(detail("", core.Refuse(core.ReasonNotReady, "the entry takes no requests")))
 	}
 	return c.SendString("ready\n")
 }
