End an unused connection with 408

Ruled out: no time limit (slow senders would hold connections for ever). Change: such a time-out is 408 request_timeout, which HTTP clients know not to be the answer to a new request. Before: 400 in the new test; after: 408.

--- a/core/errors.go
+++ b/core/errors.go
@@ -25,6 +25,7 @@
 	ReasonNotFound           Reason = "not_found"
 	ReasonBadRequest         Reason = "bad_request"
 	ReasonTooLarge           Reason = "too_large"
+	ReasonRequestTimeout     Reason = "request_timeout"
 	ReasonRateLimited        Reason = "rate_limited"
 	ReasonQueueFull          Reason = "queue_full"
 	ReasonDeadline           Reason = "deadline"
--- a/entry/front/errors.go
+++ b/entry/front/errors.go
@@ -17,6 +17,7 @@
 	core.ReasonNotFound:          fiber.StatusNotFound,
 	core.ReasonBadRequest:        fiber.StatusBadRequest,
 	core.ReasonTooLarge:          fiber.StatusRequestEntityTooLarge,
+	core.ReasonRequestTimeout:    fiber.StatusRequestTimeout,
 	core.ReasonRateLimited:       fiber.StatusTooManyRequests,
 	core.ReasonDeadline:          fiber.StatusGatewayTimeout,
 	core.ReasonClaimConflict:     fiber.StatusConflict,
@@ -85,6 +86,10 @@
 		switch fe.Code {
 		case fiber.StatusRequestEntityTooLarge:
 			reason = core.ReasonTooLarge
+		case fiber.StatusRequestTimeout:
+			// Also sent on a connection on which no request came. Clients
+			// know that 408 is no answer to a request they send at that moment.
+			reason = core.ReasonRequestTimeout
 		case fiber.StatusNotFound, fiber.StatusMethodNotAllowed:
 			reason = core.ReasonNotFound
 		}
--- /dev/null
+++ b/entry/front/front_test.go
@@ -0,0 +1,37 @@
+package front_test
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"parsleyroute.example/entry/front"
+)
+
+// Guards against a typed error on an unused connection that a client takes for
+// the answer to a request it sends at that moment: only 408 is safe there.
+func TestUnusedConnectionEndsWithRequestTimeout(t *testing.T) {
+	cfg := front.Settings()
+	cfg.ReadTimeout = 50 * time.Millisecond
+	app := fiber.New(cfg)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true}) }()
+	defer func() { _ = app.Shutdown() }()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "HTTP/1.1 408 ") {
+		t.Fatalf("got %q, %v", line, err)
+	}
+}
