--- a/parsley/cmds/apply.go
+++ b/parsley/cmds/apply.go
@@ -168,7 +168,7 @@
 	if len(lines) == 0 {
 		return nil
 	}
-	return fail(code, errors.New(strings.Join(lines, "\n")))
+	return fail(code, problems(lines))
 }
 
 // current returns the objects of the declarations as they are in the store.
--- a/parsley/cmds/code.go
+++ b/parsley/cmds/code.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -89,3 +90,10 @@
 	}
 	return Failed
 }
+
+// problems is the error of a command that failed for several objects, a line
+// for each.
+type problems []string
+
+// Error implements error.
+func (p problems) Error() string { return strings.Join(p, "\n") }
--- a/parsley/cmds/offline.go
+++ b/parsley/cmds/offline.go
@@ -1,7 +1,6 @@
 package cmds
 
 import (
-	"errors"
 	"strconv"
 	"strings"
 
@@ -34,7 +33,7 @@
 			}
 			if len(faults) > 0 {
 				lines := lo.Map(faults, func(err error, _ int) string { return trace.UserMessage(err) })
-				return fail(Invalid, errors.New(strings.Join(lines, "\n")))
+				return fail(Invalid, problems(lines))
 			}
 			if err := p.warnIdle(b.declarations); err != nil {
 				return err
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -7,13 +7,14 @@
 #   scripts/cluster.sh down DIR
 #
 # DIR gets the settings, the logs, the process ids, and the file env with the
-# addresses. ENTRIES (default 2) is the number of entries in each zone, PICKER
+# addresses. BIN is the folder of the programs (default .out/bin), for example
+# those of an earlier build. ENTRIES (default 2) is the number of entries in each zone, PICKER
 # the entries' picker, STEP replaces the declared step of the upstreams, and
 # ENGINE_FLAGS, PLAIN_FLAGS and PLATFORM_FLAGS are added to the stand-ins. The
 # team "bench" with the credential "bench" has no rate limit.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bin=$PWD/.out/bin
+bin=${BIN:-$PWD/.out/bin}
 platform=127.0.0.1:7000
 peer_key=loopback-peer-key
 operator_key=loopback-operator-key
@@ -135,7 +136,7 @@
   ;;
 down) down "$2" ;;
 *)
-  sed -n '2,14s/^# \{0,1\}//p' "$0"
+  sed -n '2,15s/^# \{0,1\}//p' "$0"
   exit 2
   ;;
 esac
