--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -58,12 +58,13 @@
     -d "{\"name\":\"$1\",\"role\":\"$2\",\"zone\":\"$3\",\"peer\":\"$4\",\"leaving\":false}"
 }
 
-# upstreams prints name, service, zone, agent, group and rank of each declared
-# upstream; group and rank are - for upstreams that are no ranks.
+# upstreams prints name, service, zone, agent, group, rank, limit and cold of
+# each declared upstream; group and rank are - for upstreams that are no ranks.
 upstreams() {
-  awk -F'"' 'function flush() {if (n != "") print n, s, z, a, g, r}
+  awk -F'"' 'function flush() {if (n != "") print n, s, z, a, g, r, l, c}
     /^\[\[upstream\]\]/ {flush(); n=s=z=a=""; g=r="-"} /^name/ {n=$2} /^service/ {s=$2} /^zone/ {z=$2}
-    /^agent/ {a=$2} /^group/ {g=$2} /^rank/ {sub(/rank *= */, ""); r=$0} END {flush()}' "examples/$deployment/upstreams.toml"
+    /^agent/ {a=$2} /^group/ {g=$2} /^rank/ {sub(/rank *= */, ""); r=$0}
+    /^limit/ {sub(/limit *= */, ""); l=$0} /^cold/ {sub(/cold *= */, ""); c=$0} END {flush()}' "examples/$deployment/upstreams.toml"
 }
 
 # groups starts the stand-in of each group of ranks, which have 8 layers, 64
@@ -86,11 +87,12 @@
   wait_for "http://$platform/control/stats"
   : >"$dir/groups"
   groups
-  while read -r name service zone agent group rank; do
+  while read -r name service zone agent group rank limit cold; do
     local backend=127.0.0.1:$((${agent#*:} + 1000)) kind=engine flags=${ENGINE_FLAGS:-}
     case $service in *-desk) kind=plain flags=${PLAIN_FLAGS:-} ;; esac
+    # The stand-in bears what is declared, unless the flags say otherwise.
     # shellcheck disable=SC2086
-    start "$name" fakes "$kind" --listen "$backend" $flags
+    start "$name" fakes "$kind" --listen "$backend" --set "{\"cold\":$cold,\"max\":$limit}" $flags
     {
       settings "agent-$name" "$zone"
       printf 'listen = "%s"\nupstream = "%s"\n[platform]\naddress = "%s"\n' "$agent" "$name" "$platform"
