Remove the claim's version from dispatches; correct the comment of Dispatch

Agents read the claim themselves before they record an outcome, so nothing used the field. The comment named an error that does not exist. Run: the tests of flow, guard, frame and claim, and go vet; the whole check was not run again.

--- a/core/conn/links/link.go
+++ b/core/conn/links/link.go
@@ -230,8 +230,8 @@
 	return func() { once.Do(func() { l.inflight.Add(-1) }) }
 }
 
-// Dispatch sends a request. ErrNotSent in the error's chain means that nothing
-// was sent. The caller closes the stream.
+// Dispatch sends a request. After an error it may have been sent.
+// The caller closes the stream.
 func (l *Link) Dispatch(d *wire.Dispatch, body []byte) (*Stream, error) {
 	p, err := frame.EncodeDispatch(d, body)
 	if err != nil {
--- a/entry/flow/once.go
+++ b/entry/flow/once.go
@@ -192,7 +192,6 @@
 // address completes the dispatch of a claimed attempt.
 func (o *once) address(d *wire.Dispatch) {
 	d.Attempt = o.held.Attempt()
-	d.ClaimVersion = o.held.Version
 }
 
 // failed decides what follows when a dispatched attempt gave no answer.
