--- a/core/conn/probe/probe.go
+++ b/core/conn/probe/probe.go
@@ -18,21 +18,33 @@
 // Closed reports whether the peer has closed the connection. It is false for
 // connections that cannot be probed.
 func Closed(conn net.Conn) bool {
+	closed, _ := look(conn)
+	return closed
+}
+
+// Quiet reports whether the connection is open and nothing waits to be read on
+// it.
+func Quiet(conn net.Conn) bool {
+	closed, unread := look(conn)
+	return !closed && !unread
+}
+
+func look(conn net.Conn) (closed, unread bool) {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true
+		return true, false
 	}
-	closed := false
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		closed = err == nil && n == 0 || err == unix.ECONNRESET
+		unread = err == nil && n > 0
 	})
-	return closed || err != nil
+	return closed || err != nil, unread
 }
 
 // Watch calls gone once if the peer closes the connection before ctx ends.
--- a/core/conn/rest/client.go
+++ b/core/conn/rest/client.go
@@ -15,19 +15,46 @@
 // Client is a pool of connections to one server. Its zero value is ready for
 // use; the address of the first call is that of all.
 type Client struct {
+	// Failure converts an answer that is no success; default Failed. It is set
+	// before the first call.
+	Failure func(code int, body []byte) error
+	// Dial connects to the server; default fasthttp's. It is set before the
+	// first call.
+	Dial fasthttp.DialFunc
+
 	once   sync.Once
 	client fasthttp.HostClient
 	addr   string
 }
 
+// Request is one call of a server's API.
+type Request struct {
+	Method string
+	Path   string
+	Query  map[string]string
+	Header map[string]string
+	// In is encoded as the JSON body, unless it is nil.
+	In any
+}
+
 // Call sends one request with the JSON body in and decodes the answer into
-// out; both may be nil. It fails with the types of Failed, or with
-// trace.ConnectionProblem if the call may have taken effect.
+// out; both may be nil. Its errors are those of Do.
 func (c *Client) Call(ctx context.Context, addr netip.AddrPort, timeout time.Duration, method, path string, query map[string]string, in, out any) error {
+	return c.Do(ctx, addr, timeout, Request{Method: method, Path: path, Query: query, In: in}, out)
+}
+
+// Do sends one request and decodes the answer into out, which may be nil. It
+// fails with the types of Failure, or with trace.ConnectionProblem if the call
+// may have taken effect.
+func (c *Client) Do(ctx context.Context, addr netip.AddrPort, timeout time.Duration, r Request, out any) error {
 	c.once.Do(func() {
 		c.addr = addr.String()
+		if c.Failure == nil {
+			c.Failure = Failed
+		}
 		c.client = fasthttp.HostClient{
 			Addr: c.addr,
+			Dial: c.Dial,
 			// A write must not be sent twice.
 			MaxIdemponentCallAttempts: 1,
 			// Below the idle time of common servers (10 s and more), so that
@@ -37,9 +64,9 @@
 		}
 	})
 	var body []byte
-	if in != nil {
+	if r.In != nil {
 		var err error
-		if body, err = json.Marshal(in); err != nil {
+		if body, err = json.Marshal(r.In); err != nil {
 			return trace.BadParameter("cannot encode the request: %s", err)
 		}
 	}
@@ -58,41 +85,50 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		data, err := c.send(deadline, method, path, query, body)
+		data, err := c.send(deadline, r, body)
 		done <- result{data, err}
 	}()
 	select {
-	case r := <-done:
-		if r.err != nil || out == nil {
-			return r.err
+	case a := <-done:
+		if a.err != nil || out == nil {
+			return a.err
 		}
-		if err := json.Unmarshal(r.body, out); err != nil {
-			return trace.ConnectionProblem(err, "the answer to %s %s cannot be decoded", method, path)
+		if err := json.Unmarshal(a.body, out); err != nil {
+			return trace.ConnectionProblem(err, "the answer to %s %s cannot be decoded", r.Method, r.Path)
 		}
 		return nil
 	case <-ctx.Done():
-		return trace.ConnectionProblem(ctx.Err(), "%s %s was given up", method, path)
+		return trace.ConnectionProblem(ctx.Err(), "%s %s was given up", r.Method, r.Path)
 	}
 }
 
-func (c *Client) send(deadline time.Time, method, path string, query map[string]string, body []byte) ([]byte, error) {
+func (c *Client) send(deadline time.Time, r Request, body []byte) ([]byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + c.addr + path)
-	req.Header.SetMethod(method)
-	for k, v := range query {
+	req.SetRequestURI("http://" + c.addr + r.Path)
+	req.Header.SetMethod(r.Method)
+	for k, v := range r.Query {
 		req.URI().QueryArgs().Set(k, v)
 	}
+	for k, v := range r.Header {
+		req.Header.Set(k, v)
+	}
 	if body != nil {
 		req.Header.SetContentType("application/json")
 		req.SetBody(body)
 	}
 	if err := c.client.DoDeadline(req, resp, deadline); err != nil {
-		return nil, trace.ConnectionProblem(err, "%s %s failed", method, path)
+		return nil, trace.ConnectionProblem(err, "%s %s failed", r.Method, r.Path)
 	}
 	if code := resp.StatusCode(); code/100 != 2 {
-		return nil, Failed(code, resp.Body())
+		return nil, c.Failure(code, resp.Body())
 	}
 	return bytes.Clone(resp.Body()), nil
 }
+
+// Close closes the idle connections.
+func (c *Client) Close() error {
+	c.client.CloseIdleConnections()
+	return nil
+}
--- a/core/process/start/start.go
+++ b/core/process/start/start.go
@@ -38,7 +38,7 @@
 // settings is what the settings file is decoded into. The process ends with 1
 // after a failure.
 func (p *Program[S]) Main(settings S) {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := Signals()
 	defer stop()
 	if err := p.command(settings).ExecuteContext(ctx); err != nil {
 		_ = level.Error(logs.New(os.Stderr, p.Name, "", "")).Log("msg", "the program failed", "err", err.Error())
@@ -47,6 +47,11 @@
 	}
 }
 
+// Signals returns a context that ends with the signal to shut down.
+func Signals() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
 func (p *Program[S]) command(settings S) *cobra.Command {
 	var path string
 	var checkOnly bool
--- /dev/null
+++ b/core/protocol.go
@@ -0,0 +1,152 @@
+package core
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// CallInfo is what a caller's request says of itself.
+type CallInfo struct {
+	// Attempt identifies the request; each repetition by the caller has its own.
+	Attempt string
+	// Key is the team's credential, empty if there is none.
+	Key string
+	// Deadline is how long the caller waits; zero if it does not say.
+	Deadline time.Duration
+	// PromptTokens and AnswerTokens are the length of the prompt and the
+	// greatest length of the answer; zero if unknown.
+	PromptTokens int
+	AnswerTokens int
+	// LastEvent is the id of the last event that a resumed stream has had.
+	LastEvent    uint64
+	HasLastEvent bool
+}
+
+// Dispatch holds the fields that the entry sets in a request to an upstream.
+type Dispatch struct {
+	// Deadline is the time left to the caller.
+	Deadline time.Duration
+	// Instance is the upstream that may run the request.
+	Instance string
+	// Team is the caller's team, empty if requests need no key.
+	Team string
+	// LastEvent continues a stream after an event.
+	LastEvent    uint64
+	HasLastEvent bool
+}
+
+// AnswerInfo is what an upstream's answer says of itself.
+type AnswerInfo struct {
+	// Attempt echoes the request's id.
+	Attempt string
+	// Signed is set if the answer carries the upstream's signature.
+	Signed bool
+	// NotRun is set if the upstream states that it has not run the request.
+	NotRun bool
+	// Culprit names the upstream that prevented the run, if it was another.
+	Culprit string
+	// Load is the upstream's own count of running and waiting requests.
+	Running int
+	Waiting int
+	HasLoad bool
+	// KeepIdle is the time for which the upstream keeps the connection; zero if
+	// it does not say.
+	KeepIdle time.Duration
+}
+
+// Protocol reads and writes the header fields that callers, entries and
+// upstreams exchange.
+type Protocol interface {
+	CallInfo(h *fasthttp.RequestHeader) CallInfo
+	// Forwards reports whether a caller's field is passed on to upstreams.
+	Forwards(name []byte) bool
+	// AppendDispatch appends the fields that the entry sets, as header lines.
+	AppendDispatch(dst []byte, d *Dispatch) []byte
+	AnswerInfo(h *fasthttp.ResponseHeader) AnswerInfo
+	// Returns reports whether an upstream's field is passed back to callers.
+	Returns(name []byte) bool
+}
+
+// RankReport is the state of a rank as its engine reports it.
+type RankReport struct {
+	// Born is the start of the engine process.
+	Born int64
+	// Group names the rank's group and Epoch counts how often it has formed.
+	Group string
+	Epoch uint64
+	Rank  int
+	// Size is the number of ranks in the group.
+	Size int
+	// Open is set while the group runs passes.
+	Open bool
+	// Step is the last pass that was begun.
+	Step uint64
+	// Map is the version of the expert map in use, Prepared the version whose
+	// copy is complete; zero if there is none.
+	Map      uint64
+	Prepared uint64
+	// ArmedMap and ArmedStep are the switch that the rank has promised.
+	ArmedMap  uint64
+	ArmedStep uint64
+	Armed     bool
+	// HeldStep is the pass that the group does not begin.
+	HeldStep uint64
+	Held     bool
+	Running  int
+	Waiting  int
+	// Pace is above 1 if the engine is slow.
+	Pace float64
+}
+
+// RankCounts tells how often a rank's requests have chosen each expert since
+// the engine process started.
+type RankCounts struct {
+	Born  int64
+	Epoch uint64
+	Step  uint64
+	// Counts holds the counts set by set.
+	Counts []uint64
+}
+
+// RankVerb names an order to a rank.
+type RankVerb string
+
+// The orders to ranks.
+const (
+	// RankPrepare copies the experts of a map to the rank.
+	RankPrepare RankVerb = "prepare"
+	// RankArm has the rank switch to a prepared map as a pass begins.
+	RankArm RankVerb = "arm"
+	// RankHold keeps the group from beginning a pass; RankRelease ends that.
+	RankHold    RankVerb = "hold"
+	RankRelease RankVerb = "release"
+)
+
+// RankOrder is an order to a rank.
+type RankOrder struct {
+	Verb RankVerb
+	// Token is the fencing token.
+	Token uint64
+	Epoch uint64
+	// Map is the version of the map, Step the pass.
+	Map  uint64
+	Step uint64
+	// Placement lists the experts by set and rank, for RankPrepare.
+	Placement [][][]int
+}
+
+// Ranks is the control interface of the ranks of a group. Its errors are
+// trace.CompareFailed if the order does not fit the rank's state,
+// trace.AccessDenied if a higher fencing token was seen, and
+// trace.ConnectionProblem if the order may have been or may yet be carried
+// out. instance guards against an address that another process has taken over.
+type Ranks interface {
+	Report(ctx context.Context, addr netip.AddrPort, instance string) (RankReport, error)
+	Counts(ctx context.Context, addr netip.AddrPort, instance string) (RankCounts, error)
+	// Placement returns the experts of the rank by set, of the map in use.
+	Placement(ctx context.Context, addr netip.AddrPort, instance string) (version uint64, experts [][]int, err error)
+	Order(ctx context.Context, addr netip.AddrPort, instance string, o RankOrder) error
+}
--- a/core/wire/wire.twirp.go
+++ b/core/wire/wire.twirp.go
@@ -19,6 +19,11 @@
 import twirp "github.com/twitchtv/twirp"
 import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
 
+import bytes "bytes"
+import errors "errors"
+import path "path"
+import url "net/url"
+
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
 // the package needs to be updated to work with this generated code.
@@ -1064,7 +1069,7 @@
 }
 
 func (s *configServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor0, 0
 }
 
 func (s *configServer) ProtocGenTwirpVersion() string {
@@ -2396,7 +2401,7 @@
 }
 
 func (s *upstreamServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 1
+	return twirpFileDescriptor0, 1
 }
 
 func (s *upstreamServer) ProtocGenTwirpVersion() string {
@@ -4288,7 +4293,7 @@
 }
 
 func (s *ranksServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 2
+	return twirpFileDescriptor0, 2
 }
 
 func (s *ranksServer) ProtocGenTwirpVersion() string {
@@ -4302,7 +4307,572 @@
 	return baseServicePath(s.pathPrefix, "wire", "Ranks")
 }
 
-var twirpFileDescriptor1 = []byte{
+// =====
+// Utils
+// =====
+
+// HTTPClient is the interface used by generated clients to send HTTP requests.
+// It is fulfilled by *(net/http).Client, which is sufficient for most users.
+// Users can provide their own implementation for special retry policies.
+//
+// HTTPClient implementations should not follow redirects. Redirects are
+// automatically disabled if *(net/http).Client is passed to client
+// constructors. See the withoutRedirects function in this file for more
+// details.
+type HTTPClient interface {
+	Do(req *http.Request) (*http.Response, error)
+}
+
+// TwirpServer is the interface generated server structs will support: they're
+// HTTP handlers with additional methods for accessing metadata about the
+// service. Those accessors are a low-level API for building reflection tools.
+// Most people can think of TwirpServers as just http.Handlers.
+type TwirpServer interface {
+	http.Handler
+
+	// ServiceDescriptor returns gzipped bytes describing the .proto file that
+	// this service was generated from. Once unzipped, the bytes can be
+	// unmarshalled as a
+	// google.golang.org/protobuf/types/descriptorpb.FileDescriptorProto.
+	//
+	// The returned integer is the index of this particular service within that
+	// FileDescriptorProto's 'Service' slice of ServiceDescriptorProtos. This is a
+	// low-level field, expected to be used for reflection.
+	ServiceDescriptor() ([]byte, int)
+
+	// ProtocGenTwirpVersion is the semantic version string of the version of
+	// twirp used to generate this file.
+	ProtocGenTwirpVersion() string
+
+	// PathPrefix returns the HTTP URL path prefix for all methods handled by this
+	// service. This can be used with an HTTP mux to route Twirp requests.
+	// The path prefix is in the form: "/<prefix>/<package>.<Service>/"
+	// that is, everything in a Twirp route except for the <Method> at the end.
+	PathPrefix() string
+}
+
+func newServerOpts(opts []interface{}) *twirp.ServerOptions {
+	serverOpts := &twirp.ServerOptions{}
+	for _, opt := range opts {
+		switch o := opt.(type) {
+		case twirp.ServerOption:
+			o(serverOpts)
+		case *twirp.ServerHooks: // backwards compatibility, allow to specify hooks as an argument
+			twirp.WithServerHooks(o)(serverOpts)
+		case nil: // backwards compatibility, allow nil value for the argument
+			continue
+		default:
+			panic(fmt.Sprintf("Invalid option type %T, please use a twirp.ServerOption", o))
+		}
+	}
+	return serverOpts
+}
+
+// WriteError writes an HTTP response with a valid Twirp error format (code, msg, meta).
+// Useful outside of the Twirp server (e.g. http middleware), but does not trigger hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func WriteError(resp http.ResponseWriter, err error) {
+	writeError(context.Background(), resp, err, nil)
+}
+
+// writeError writes Twirp errors in the response and triggers hooks.
+func writeError(ctx context.Context, resp http.ResponseWriter, err error, hooks *twirp.ServerHooks) {
+	// Convert to a twirp.Error. Non-twirp errors are converted to internal errors.
+	var twerr twirp.Error
+	if !errors.As(err, &twerr) {
+		twerr = twirp.InternalErrorWith(err)
+	}
+
+	statusCode := twirp.ServerHTTPStatusFromErrorCode(twerr.Code())
+	ctx = ctxsetters.WithStatusCode(ctx, statusCode)
+	ctx = callError(ctx, hooks, twerr)
+
+	respBody := marshalErrorToJSON(twerr)
+
+	resp.Header().Set("Content-Type", "application/json") // Error responses are always JSON
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBody)))
+	resp.WriteHeader(statusCode) // set HTTP status code and send response
+
+	_, writeErr := resp.Write(respBody)
+	if writeErr != nil {
+		// We have three options here. We could log the error, call the Error
+		// hook, or just silently ignore the error.
+		//
+		// Logging is unacceptable because we don't have a user-controlled
+		// logger; writing out to stderr without permission is too rude.
+		//
+		// Calling the Error hook would confuse users: it would mean the Error
+		// hook got called twice for one request, which is likely to lead to
+		// duplicated log messages and metrics, no matter how well we document
+		// the behavior.
+		//
+		// Silently ignoring the error is our least-bad option. It's highly
+		// likely that the connection is broken and the original 'err' says
+		// so anyway.
+		_ = writeErr
+	}
+
+	callResponseSent(ctx, hooks)
+}
+
+// sanitizeBaseURL parses the the baseURL, and adds the "http" scheme if needed.
+// If the URL is unparsable, the baseURL is returned unchanged.
+func sanitizeBaseURL(baseURL string) string {
+	u, err := url.Parse(baseURL)
+	if err != nil {
+		return baseURL // invalid URL will fail later when making requests
+	}
+	if u.Scheme == "" {
+		u.Scheme = "http"
+	}
+	return u.String()
+}
+
+// baseServicePath composes the path prefix for the service (without <Method>).
+// e.g.: baseServicePath("/twirp", "my.pkg", "MyService")
+//
+//	returns => "/twirp/my.pkg.MyService/"
+//
+// e.g.: baseServicePath("", "", "MyService")
+//
+//	returns => "/MyService/"
+func baseServicePath(prefix, pkg, service string) string {
+	fullServiceName := service
+	if pkg != "" {
+		fullServiceName = pkg + "." + service
+	}
+	return path.Join("/", prefix, fullServiceName) + "/"
+}
+
+// parseTwirpPath extracts path components form a valid Twirp route.
+// Expected format: "[<prefix>]/<package>.<Service>/<Method>"
+// e.g.: prefix, pkgService, method := parseTwirpPath("/twirp/pkg.Svc/MakeHat")
+func parseTwirpPath(path string) (string, string, string) {
+	parts := strings.Split(path, "/")
+	if len(parts) < 2 {
+		return "", "", ""
+	}
+	method := parts[len(parts)-1]
+	pkgService := parts[len(parts)-2]
+	prefix := strings.Join(parts[0:len(parts)-2], "/")
+	return prefix, pkgService, method
+}
+
+// getCustomHTTPReqHeaders retrieves a copy of any headers that are set in
+// a context through the twirp.WithHTTPRequestHeaders function.
+// If there are no headers set, or if they have the wrong type, nil is returned.
+func getCustomHTTPReqHeaders(ctx context.Context) http.Header {
+	header, ok := twirp.HTTPRequestHeaders(ctx)
+	if !ok || header == nil {
+		return nil
+	}
+	copied := make(http.Header)
+	for k, vv := range header {
+		if vv == nil {
+			copied[k] = nil
+			continue
+		}
+		copied[k] = make([]string, len(vv))
+		copy(copied[k], vv)
+	}
+	return copied
+}
+
+// newRequest makes an http.Request from a client, adding common headers.
+func newRequest(ctx context.Context, url string, reqBody io.Reader, contentType string) (*http.Request, error) {
+	req, err := http.NewRequest("POST", url, reqBody)
+	if err != nil {
+		return nil, err
+	}
+	req = req.WithContext(ctx)
+	if customHeader := getCustomHTTPReqHeaders(ctx); customHeader != nil {
+		req.Header = customHeader
+	}
+	req.Header.Set("Accept", contentType)
+	req.Header.Set("Content-Type", contentType)
+	req.Header.Set("Twirp-Version", "v8.1.3")
+	return req, nil
+}
+
+// JSON serialization for errors
+type twerrJSON struct {
+	Code string            `json:"code"`
+	Msg  string            `json:"msg"`
+	Meta map[string]string `json:"meta,omitempty"`
+}
+
+// marshalErrorToJSON returns JSON from a twirp.Error, that can be used as HTTP error response body.
+// If serialization fails, it will use a descriptive Internal error instead.
+func marshalErrorToJSON(twerr twirp.Error) []byte {
+	// make sure that msg is not too large
+	msg := twerr.Msg()
+	if len(msg) > 1e6 {
+		msg = msg[:1e6]
+	}
+
+	tj := twerrJSON{
+		Code: string(twerr.Code()),
+		Msg:  msg,
+		Meta: twerr.MetaMap(),
+	}
+
+	buf, err := json.Marshal(&tj)
+	if err != nil {
+		buf = []byte("{\"type\": \"" + twirp.Internal + "\", \"msg\": \"There was an error but it could not be serialized into JSON\"}") // fallback
+	}
+
+	return buf
+}
+
+// errorFromResponse builds a twirp.Error from a non-200 HTTP response.
+// If the response has a valid serialized Twirp error, then it's returned.
+// If not, the response status code is used to generate a similar twirp
+// error. See twirpErrorFromIntermediary for more info on intermediary errors.
+func errorFromResponse(resp *http.Response) twirp.Error {
+	statusCode := resp.StatusCode
+	statusText := http.StatusText(statusCode)
+
+	if isHTTPRedirect(statusCode) {
+		// Unexpected redirect: it must be an error from an intermediary.
+		// Twirp clients don't follow redirects automatically, Twirp only handles
+		// POST requests, redirects should only happen on GET and HEAD requests.
+		location := resp.Header.Get("Location")
+		msg := fmt.Sprintf("unexpected HTTP status code %d %q received, Location=%q", statusCode, statusText, location)
+		return twirpErrorFromIntermediary(statusCode, msg, location)
+	}
+
+	respBodyBytes, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return wrapInternal(err, "failed to read server error response body")
+	}
+
+	var tj twerrJSON
+	dec := json.NewDecoder(bytes.NewReader(respBodyBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&tj); err != nil || tj.Code == "" {
+		// Invalid JSON response; it must be an error from an intermediary.
+		msg := fmt.Sprintf("Error from intermediary with HTTP status code %d %q", statusCode, statusText)
+		return twirpErrorFromIntermediary(statusCode, msg, string(respBodyBytes))
+	}
+
+	errorCode := twirp.ErrorCode(tj.Code)
+	if !twirp.IsValidErrorCode(errorCode) {
+		msg := "invalid type returned from server error response: " + tj.Code
+		return twirp.InternalError(msg).WithMeta("body", string(respBodyBytes))
+	}
+
+	twerr := twirp.NewError(errorCode, tj.Msg)
+	for k, v := range tj.Meta {
+		twerr = twerr.WithMeta(k, v)
+	}
+	return twerr
+}
+
+// twirpErrorFromIntermediary maps HTTP errors from non-twirp sources to twirp errors.
+// The mapping is similar to gRPC: https://github.com/grpc/grpc/blob/master/doc/http-grpc-status-mapping.md.
+// Returned twirp Errors have some additional metadata for inspection.
+func twirpErrorFromIntermediary(status int, msg string, bodyOrLocation string) twirp.Error {
+	var code twirp.ErrorCode
+	if isHTTPRedirect(status) { // 3xx
+		code = twirp.Internal
+	} else {
+		switch status {
+		case 400: // Bad Request
+			code = twirp.Internal
+		case 401: // Unauthorized
+			code = twirp.Unauthenticated
+		case 403: // Forbidden
+			code = twirp.PermissionDenied
+		case 404: // Not Found
+			code = twirp.BadRoute
+		case 429: // Too Many Requests
+			code = twirp.ResourceExhausted
+		case 502, 503, 504: // Bad Gateway, Service Unavailable, Gateway Timeout
+			code = twirp.Unavailable
+		default: // All other codes
+			code = twirp.Unknown
+		}
+	}
+
+	twerr := twirp.NewError(code, msg)
+	twerr = twerr.WithMeta("http_error_from_intermediary", "true") // to easily know if this error was from intermediary
+	twerr = twerr.WithMeta("status_code", strconv.Itoa(status))
+	if isHTTPRedirect(status) {
+		twerr = twerr.WithMeta("location", bodyOrLocation)
+	} else {
+		twerr = twerr.WithMeta("body", bodyOrLocation)
+	}
+	return twerr
+}
+
+func isHTTPRedirect(status int) bool {
+	return status >= 300 && status <= 399
+}
+
+// wrapInternal wraps an error with a prefix as an Internal error.
+// The original error cause is accessible by github.com/pkg/errors.Cause.
+func wrapInternal(err error, prefix string) twirp.Error {
+	return twirp.InternalErrorWith(&wrappedError{prefix: prefix, cause: err})
+}
+
+type wrappedError struct {
+	prefix string
+	cause  error
+}
+
+func (e *wrappedError) Error() string { return e.prefix + ": " + e.cause.Error() }
+func (e *wrappedError) Unwrap() error { return e.cause } // for go1.13 + errors.Is/As
+func (e *wrappedError) Cause() error  { return e.cause } // for github.com/pkg/errors
+
+// ensurePanicResponses makes sure that rpc methods causing a panic still result in a Twirp Internal
+// error response (status 500), and error hooks are properly called with the panic wrapped as an error.
+// The panic is re-raised so it can be handled normally with middleware.
+func ensurePanicResponses(ctx context.Context, resp http.ResponseWriter, hooks *twirp.ServerHooks) {
+	if r := recover(); r != nil {
+		// Wrap the panic as an error so it can be passed to error hooks.
+		// The original error is accessible from error hooks, but not visible in the response.
+		err := errFromPanic(r)
+		twerr := &internalWithCause{msg: "Internal service panic", cause: err}
+		// Actually write the error
+		writeError(ctx, resp, twerr, hooks)
+		// If possible, flush the error to the wire.
+		f, ok := resp.(http.Flusher)
+		if ok {
+			f.Flush()
+		}
+
+		panic(r)
+	}
+}
+
+// errFromPanic returns the typed error if the recovered panic is an error, otherwise formats as error.
+func errFromPanic(p interface{}) error {
+	if err, ok := p.(error); ok {
+		return err
+	}
+	return fmt.Errorf("panic: %v", p)
+}
+
+// internalWithCause is a Twirp Internal error wrapping an original error cause,
+// but the original error message is not exposed on Msg(). The original error
+// can be checked with go1.13+ errors.Is/As, and also by (github.com/pkg/errors).Unwrap
+type internalWithCause struct {
+	msg   string
+	cause error
+}
+
+func (e *internalWithCause) Unwrap() error                               { return e.cause } // for go1.13 + errors.Is/As
+func (e *internalWithCause) Cause() error                                { return e.cause } // for github.com/pkg/errors
+func (e *internalWithCause) Error() string                               { return e.msg + ": " + e.cause.Error() }
+func (e *internalWithCause) Code() twirp.ErrorCode                       { return twirp.Internal }
+func (e *internalWithCause) Msg() string                                 { return e.msg }
+func (e *internalWithCause) Meta(key string) string                      { return "" }
+func (e *internalWithCause) MetaMap() map[string]string                  { return nil }
+func (e *internalWithCause) WithMeta(key string, val string) twirp.Error { return e }
+
+// malformedRequestError is used when the twirp server cannot unmarshal a request
+func malformedRequestError(msg string) twirp.Error {
+	return twirp.NewError(twirp.Malformed, msg)
+}
+
+// badRouteError is used when the twirp server cannot route a request
+func badRouteError(msg string, method, url string) twirp.Error {
+	err := twirp.NewError(twirp.BadRoute, msg)
+	err = err.WithMeta("twirp_invalid_route", method+" "+url)
+	return err
+}
+
+// withoutRedirects makes sure that the POST request can not be redirected.
+// The standard library will, by default, redirect requests (including POSTs) if it gets a 302 or
+// 303 response, and also 301s in go1.8. It redirects by making a second request, changing the
+// method to GET and removing the body. This produces very confusing error messages, so instead we
+// set a redirect policy that always errors. This stops Go from executing the redirect.
+//
+// We have to be a little careful in case the user-provided http.Client has its own CheckRedirect
+// policy - if so, we'll run through that policy first.
+//
+// Because this requires modifying the http.Client, we make a new copy of the client and return it.
+func withoutRedirects(in *http.Client) *http.Client {
+	copy := *in
+	copy.CheckRedirect = func(req *http.Request, via []*http.Request) error {
+		if in.CheckRedirect != nil {
+			// Run the input's redirect if it exists, in case it has side effects, but ignore any error it
+			// returns, since we want to use ErrUseLastResponse.
+			err := in.CheckRedirect(req, via)
+			_ = err // Silly, but this makes sure generated code passes errcheck -blank, which some people use.
+		}
+		return http.ErrUseLastResponse
+	}
+	return &copy
+}
+
+// doProtobufRequest makes a Protobuf request to the remote Twirp service.
+func doProtobufRequest(ctx context.Context, client HTTPClient, hooks *twirp.ClientHooks, url string, in, out proto.Message) (_ context.Context, err error) {
+	reqBodyBytes, err := proto.Marshal(in)
+	if err != nil {
+		return ctx, wrapInternal(err, "failed to marshal proto request")
+	}
+	reqBody := bytes.NewBuffer(reqBodyBytes)
+	if err = ctx.Err(); err != nil {
+		return ctx, wrapInternal(err, "aborted because context was done")
+	}
+
+	req, err := newRequest(ctx, url, reqBody, "application/protobuf")
+	if err != nil {
+		return ctx, wrapInternal(err, "could not build request")
+	}
+	ctx, err = callClientRequestPrepared(ctx, hooks, req)
+	if err != nil {
+		return ctx, err
+	}
+
+	req = req.WithContext(ctx)
+	resp, err := client.Do(req)
+	if err != nil {
+		return ctx, wrapInternal(err, "failed to do request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	if err = ctx.Err(); err != nil {
+		return ctx, wrapInternal(err, "aborted because context was done")
+	}
+
+	if resp.StatusCode != 200 {
+		return ctx, errorFromResponse(resp)
+	}
+
+	respBodyBytes, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ctx, wrapInternal(err, "failed to read response body")
+	}
+	if err = ctx.Err(); err != nil {
+		return ctx, wrapInternal(err, "aborted because context was done")
+	}
+
+	if err = proto.Unmarshal(respBodyBytes, out); err != nil {
+		return ctx, wrapInternal(err, "failed to unmarshal proto response")
+	}
+	return ctx, nil
+}
+
+// doJSONRequest makes a JSON request to the remote Twirp service.
+func doJSONRequest(ctx context.Context, client HTTPClient, hooks *twirp.ClientHooks, url string, in, out proto.Message) (_ context.Context, err error) {
+	marshaler := &protojson.MarshalOptions{UseProtoNames: true}
+	reqBytes, err := marshaler.Marshal(in)
+	if err != nil {
+		return ctx, wrapInternal(err, "failed to marshal json request")
+	}
+	if err = ctx.Err(); err != nil {
+		return ctx, wrapInternal(err, "aborted because context was done")
+	}
+
+	req, err := newRequest(ctx, url, bytes.NewReader(reqBytes), "application/json")
+	if err != nil {
+		return ctx, wrapInternal(err, "could not build request")
+	}
+	ctx, err = callClientRequestPrepared(ctx, hooks, req)
+	if err != nil {
+		return ctx, err
+	}
+
+	req = req.WithContext(ctx)
+	resp, err := client.Do(req)
+	if err != nil {
+		return ctx, wrapInternal(err, "failed to do request")
+	}
+
+	defer func() {
+		cerr := resp.Body.Close()
+		if err == nil && cerr != nil {
+			err = wrapInternal(cerr, "failed to close response body")
+		}
+	}()
+
+	if err = ctx.Err(); err != nil {
+		return ctx, wrapInternal(err, "aborted because context was done")
+	}
+
+	if resp.StatusCode != 200 {
+		return ctx, errorFromResponse(resp)
+	}
+
+	d := json.NewDecoder(resp.Body)
+	rawRespBody := json.RawMessage{}
+	if err := d.Decode(&rawRespBody); err != nil {
+		return ctx, wrapInternal(err, "failed to unmarshal json response")
+	}
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawRespBody, out); err != nil {
+		return ctx, wrapInternal(err, "failed to unmarshal json response")
+	}
+	if err = ctx.Err(); err != nil {
+		return ctx, wrapInternal(err, "aborted because context was done")
+	}
+	return ctx, nil
+}
+
+// Call twirp.ServerHooks.RequestReceived if the hook is available
+func callRequestReceived(ctx context.Context, h *twirp.ServerHooks) (context.Context, error) {
+	if h == nil || h.RequestReceived == nil {
+		return ctx, nil
+	}
+	return h.RequestReceived(ctx)
+}
+
+// Call twirp.ServerHooks.RequestRouted if the hook is available
+func callRequestRouted(ctx context.Context, h *twirp.ServerHooks) (context.Context, error) {
+	if h == nil || h.RequestRouted == nil {
+		return ctx, nil
+	}
+	return h.RequestRouted(ctx)
+}
+
+// Call twirp.ServerHooks.ResponsePrepared if the hook is available
+func callResponsePrepared(ctx context.Context, h *twirp.ServerHooks) context.Context {
+	if h == nil || h.ResponsePrepared == nil {
+		return ctx
+	}
+	return h.ResponsePrepared(ctx)
+}
+
+// Call twirp.ServerHooks.ResponseSent if the hook is available
+func callResponseSent(ctx context.Context, h *twirp.ServerHooks) {
+	if h == nil || h.ResponseSent == nil {
+		return
+	}
+	h.ResponseSent(ctx)
+}
+
+// Call twirp.ServerHooks.Error if the hook is available
+func callError(ctx context.Context, h *twirp.ServerHooks, err twirp.Error) context.Context {
+	if h == nil || h.Error == nil {
+		return ctx
+	}
+	return h.Error(ctx, err)
+}
+
+func callClientResponseReceived(ctx context.Context, h *twirp.ClientHooks) {
+	if h == nil || h.ResponseReceived == nil {
+		return
+	}
+	h.ResponseReceived(ctx)
+}
+
+func callClientRequestPrepared(ctx context.Context, h *twirp.ClientHooks, req *http.Request) (context.Context, error) {
+	if h == nil || h.RequestPrepared == nil {
+		return ctx, nil
+	}
+	return h.RequestPrepared(ctx, req)
+}
+
+func callClientError(ctx context.Context, h *twirp.ClientHooks, err twirp.Error) {
+	if h == nil || h.Error == nil {
+		return
+	}
+	h.Error(ctx, err)
+}
+
+var twirpFileDescriptor0 = []byte{
 	// 2382 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xbc, 0x59, 0x4b, 0x6f, 0x1b, 0xc9,
 	0x11, 0xde, 0x21, 0x87, 0x43, 0xb2, 0xf8, 0x90, 0x76, 0x2c, 0xef, 0x32, 0xf2, 0x66, 0x23, 0x8f,
--- /dev/null
+++ b/gate/conn/inlet/server.go
@@ -0,0 +1,301 @@
+package inlet
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/probe"
+	"parsleyroute.example/core/process/meter"
+)
+
+const (
+	// writeTimeout bounds the sending of one part of an answer to a caller that
+	// does not read; callers give a stream up after 2 s.
+	writeTimeout = 5 * time.Second
+	// bodyTimeout bounds the reading of a body, whose size is limited.
+	bodyTimeout = 10 * time.Second
+	// lingerTimeout is how long what the caller still sends is read after a
+	// refusal, since closing a connection with unread bytes resets it and the
+	// caller would not see the refusal.
+	lingerTimeout = 2 * time.Second
+	// acceptPause is the wait after a failure to accept, such as a lack of
+	// descriptors.
+	acceptPause = 20 * time.Millisecond
+	// writeBuffer holds the head of an answer or a few events.
+	writeBuffer = 4 << 10
+)
+
+// The limits in force until a configuration is known.
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 4 << 20
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+)
+
+// Handler answers requests.
+type Handler interface {
+	// Serve answers the request, or calls Abort.
+	Serve(x *Exchange)
+	// Reject writes a refusal of a request that cannot be read.
+	Reject(x *Exchange, status int, reason core.Reason)
+}
+
+// Server serves callers. Its exported fields are set before Start.
+type Server struct {
+	Listen  netip.AddrPort
+	Handler Handler
+	// Limits returns the limits in force; its zero fields mean defaults.
+	Limits func() core.CallerLimits
+	// Connections bounds the open connections; zero means no bound.
+	Connections int
+
+	ln      net.Listener
+	conns   sync.Map // of *conn
+	open    atomic.Int64
+	active  atomic.Int64
+	drained atomic.Bool
+	wg      sync.WaitGroup
+}
+
+// Start opens the listener and serves in the background.
+func (s *Server) Start() error {
+	ln, err := net.Listen("tcp", s.Listen.String())
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	s.ln = ln
+	s.wg.Go(s.accept)
+	return nil
+}
+
+// Addr returns the address at which the server listens.
+func (s *Server) Addr() netip.AddrPort { return netip.MustParseAddrPort(s.ln.Addr().String()) }
+
+// Active returns the number of requests that are being handled.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
+// Drain has each further answer end its connection. New connections are still
+// taken.
+func (s *Server) Drain() { s.drained.Store(true) }
+
+// Close takes no more connections, ends those that are idle, and waits for the
+// requests in flight until ctx ends. It then ends the rest.
+func (s *Server) Close(ctx context.Context) error {
+	s.drained.Store(true)
+	_ = s.ln.Close()
+	s.conns.Range(func(k, _ any) bool {
+		k.(*conn).closeIdle()
+		return true
+	})
+	done := make(chan struct{})
+	go func() { s.wg.Wait(); close(done) }()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		n := s.Active()
+		s.conns.Range(func(k, _ any) bool {
+			_ = k.(*conn).c.Close()
+			return true
+		})
+		<-done
+		return trace.LimitExceeded("%d requests were cut off at shutdown", n)
+	}
+}
+
+func (s *Server) closing() bool { return s.drained.Load() }
+
+func (s *Server) limits() core.CallerLimits {
+	l := s.Limits()
+	orDefault(&l.HeaderBytes, defaultHeaderBytes)
+	orDefault(&l.BodyBytes, defaultBodyBytes)
+	orDefault(&l.HeaderTimeout, defaultHeaderTimeout)
+	orDefault(&l.IdleTimeout, defaultIdleTimeout)
+	return l
+}
+
+func orDefault[T int | time.Duration](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.ln.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			meter.Event("accept_errors")
+			time.Sleep(acceptPause)
+			continue
+		}
+		if s.Connections > 0 && s.open.Load() >= int64(s.Connections) {
+			meter.Event("accept_refused")
+			_ = c.Close()
+			continue
+		}
+		s.open.Add(1)
+		k := &conn{server: s, c: c.(*net.TCPConn)}
+		s.conns.Store(k, nil)
+		s.wg.Go(func() {
+			defer s.open.Add(-1)
+			defer s.conns.Delete(k)
+			k.serve()
+		})
+	}
+}
+
+// conn is one caller's connection.
+type conn struct {
+	server *Server
+	c      *net.TCPConn
+	br     *bufio.Reader
+	bw     *bufio.Writer
+
+	mu   sync.Mutex
+	idle bool
+}
+
+// closeIdle ends the connection if no request is under way.
+func (k *conn) closeIdle() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.idle {
+		_ = k.c.Close()
+	}
+}
+
+func (k *conn) setIdle(idle bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.idle = idle
+}
+
+func (k *conn) serve() {
+	defer func() { _ = k.c.Close() }()
+	// A header must fit in the buffer, so its size is the limit.
+	k.br = bufio.NewReaderSize(k.c, k.server.limits().HeaderBytes)
+	k.bw = bufio.NewWriterSize(k.c, writeBuffer)
+	var req fasthttp.Request
+	for k.next(&req) {
+	}
+}
+
+// next serves one request and reports whether another may follow.
+func (k *conn) next(req *fasthttp.Request) bool {
+	req.Reset()
+	l := k.server.limits()
+	k.setIdle(true)
+	_ = k.c.SetReadDeadline(time.Now().Add(l.IdleTimeout))
+	if _, err := k.br.Peek(1); err != nil {
+		return false
+	}
+	k.setIdle(false)
+	k.server.active.Add(1)
+	defer k.server.active.Add(-1)
+	_ = k.c.SetReadDeadline(time.Now().Add(l.HeaderTimeout))
+	ctx, cancel := context.WithCancel(context.Background())
+	x := &Exchange{Header: &req.Header, conn: k, ctx: ctx, cancel: cancel}
+	defer cancel()
+	if err := req.Header.Read(k.br); err != nil {
+		return k.rejectHeader(x, err)
+	}
+	if err := checkFraming(req.Header.RawHeaders()); err != nil {
+		return k.reject(x, fasthttp.StatusBadRequest, core.ReasonBadRequest)
+	}
+	if req.Header.ContentLength() > l.BodyBytes {
+		return k.reject(x, fasthttp.StatusRequestEntityTooLarge, core.ReasonTooLarge)
+	}
+	if err := k.readBody(req, l); err != nil {
+		return k.rejectBody(x, err)
+	}
+	x.Body, x.Received = req.Body(), time.Now()
+	k.server.Handler.Serve(x)
+	x.unwatch()
+	return k.finish(x)
+}
+
+func (k *conn) readBody(req *fasthttp.Request, l core.CallerLimits) error {
+	if req.MayContinue() {
+		_, _ = k.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
+		if err := k.bw.Flush(); err != nil {
+			return err
+		}
+	}
+	if n := req.Header.ContentLength(); n == 0 || n == -2 {
+		return nil
+	}
+	_ = k.c.SetReadDeadline(time.Now().Add(bodyTimeout))
+	return req.ContinueReadBody(k.br, l.BodyBytes, false)
+}
+
+// finish reports whether the connection may carry another request.
+func (k *conn) finish(x *Exchange) bool {
+	if x.broken || !x.done {
+		// A reset cannot be taken for the end of an answer without length.
+		_ = k.c.SetLinger(0)
+		return false
+	}
+	return !x.closing
+}
+
+func (k *conn) rejectHeader(x *Exchange, err error) bool {
+	var small *fasthttp.ErrSmallBuffer
+	var nothing fasthttp.ErrNothingRead
+	switch {
+	case errors.Is(err, io.EOF), errors.As(err, &nothing):
+		return false
+	case errors.As(err, &small):
+		return k.reject(x, fasthttp.StatusRequestHeaderFieldsTooLarge, core.ReasonTooLarge)
+	case isTimeout(err):
+		return k.reject(x, fasthttp.StatusRequestTimeout, core.ReasonRequestTimeout)
+	case probe.Closed(k.c):
+		return false
+	}
+	return k.reject(x, fasthttp.StatusBadRequest, core.ReasonBadRequest)
+}
+
+func (k *conn) rejectBody(x *Exchange, err error) bool {
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return k.reject(x, fasthttp.StatusRequestEntityTooLarge, core.ReasonTooLarge)
+	case isTimeout(err):
+		return k.reject(x, fasthttp.StatusRequestTimeout, core.ReasonRequestTimeout)
+	case probe.Closed(k.c):
+		return false
+	}
+	return k.reject(x, fasthttp.StatusBadRequest, core.ReasonBadRequest)
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout() || errors.Is(err, fasthttp.ErrTimeout)
+}
+
+// reject refuses a request that was not read whole, and ends the connection
+// once the caller has had time to read the refusal.
+func (k *conn) reject(x *Exchange, status int, reason core.Reason) bool {
+	x.closing = true
+	k.server.Handler.Reject(x, status, reason)
+	if !x.done {
+		return false
+	}
+	_ = k.c.CloseWrite()
+	_ = k.c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, k.br)
+	return false
+}
--- /dev/null
+++ b/gate/process/fleet/fleet.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"sync/atomic"
+	"time"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/trail"
+	"parsleyroute.example/gate/conn/outlet"
+)
+
+// Bounds are the platform's limits that the fleet respects.
+type Bounds struct {
+	// ColdOvershoot and ColdSlack give the requests a second that a cold
+	// upstream may get from all gates: rate x overshoot + slack.
+	ColdOvershoot float64
+	ColdSlack     float64
+}
+
+// coldShare is the part of the allowed rate to cold upstreams that is used, so
+// that requests which bunch up on the way stay below it.
+const coldShare = 0.8
+
+// returnedCold is how long the upstreams of a zone count as cold after the zone
+// was taken back, until their entries tell whether they are.
+const returnedCold = time.Second
+
+// Fleet holds the upstreams. Its exported fields are set before use.
+type Fleet struct {
+	Bounds Bounds
+	Trail  *trail.Trail
+
+	snapshot atomic.Pointer[Snapshot]
+	// gates is the number of gates that may be sending.
+	gates atomic.Int64
+
+	// The fields below belong to the control goroutine.
+
+	upstreams map[string]*Upstream
+	out       map[string]bool
+	config    *core.Config
+}
+
+// Snapshot is the state of the fleet at a time. It is immutable.
+type Snapshot struct {
+	// Pools holds the upstreams of each pool that may take new work.
+	Pools map[string][]*Upstream
+	// ByID holds all upstreams that are known, also those that leave.
+	ByID map[string]*Upstream
+}
+
+// Snapshot returns the present state.
+func (f *Fleet) Snapshot() *Snapshot {
+	if s := f.snapshot.Load(); s != nil {
+		return s
+	}
+	return &Snapshot{}
+}
+
+// SetGates sets the number of gates that may be sending, which share the
+// budgets for cold upstreams.
+func (f *Fleet) SetGates(n int) { f.gates.Store(int64(max(1, n))) }
+
+// Gates returns the number of gates that may be sending.
+func (f *Fleet) Gates() int { return int(max(1, f.gates.Load())) }
+
+// Update takes over the upstreams, the zones that are out and the
+// configuration. It belongs to the control goroutine.
+func (f *Fleet) Update(now time.Time, peers map[string]*core.Peer, out map[string]bool, config *core.Config) {
+	if f.upstreams == nil {
+		f.upstreams = map[string]*Upstream{}
+	}
+	f.config = config
+	f.updateZones(now, out)
+	for id, u := range f.upstreams {
+		if p := peers[id]; p == nil || p.Addr != u.Conn.Addr || p.Born != u.Born {
+			_ = u.Conn.Close()
+			delete(f.upstreams, id)
+			f.Trail.Log("upstream_gone", "upstream", id, "pool", u.Peer().Pool, "replaced", p != nil)
+		}
+	}
+	for id, p := range peers {
+		f.updatePeer(now, id, p)
+	}
+	f.publish()
+}
+
+func (f *Fleet) updatePeer(now time.Time, id string, p *core.Peer) {
+	u := f.upstreams[id]
+	if u == nil {
+		most := 0
+		if pool := f.pool(p.Pool); pool != nil && pool.Connections > 0 {
+			most = max(minConnections, pool.Connections/f.Gates())
+		}
+		u = newUpstream(p, &outlet.Pool{Addr: p.Addr, Most: most})
+		f.upstreams[id] = u
+		f.Trail.Log("upstream_listed", "upstream", id, "pool", p.Pool, "address", p.Addr, "zone", p.Zone, "draining", p.Draining, "cold", p.Cold)
+	}
+	old := u.peer.Swap(p)
+	if p.Draining && !old.Draining {
+		f.Trail.Log("upstream_draining", "upstream", id, "pool", p.Pool)
+	}
+	if p.Cold > 0 && (old != p || u.coldUntil.IsZero()) {
+		u.setCold(now.Add(p.Cold))
+	}
+}
+
+// minConnections is the least number of connections to one upstream, so that a
+// gate's share of a small bound does not round to nothing.
+const minConnections = 8
+
+func (f *Fleet) updateZones(now time.Time, out map[string]bool) {
+	for zone := range f.out {
+		if out[zone] {
+			continue
+		}
+		f.Trail.Log("zone_back", "zone", zone)
+		for _, u := range f.upstreams {
+			if pool := f.pool(u.Peer().Pool); u.Zone == zone && pool != nil && pool.ColdRate > 0 {
+				u.setCold(now.Add(returnedCold))
+			}
+		}
+	}
+	for zone := range out {
+		if !f.out[zone] {
+			f.Trail.Log("zone_out", "zone", zone)
+		}
+	}
+	f.out = out
+}
+
+func (f *Fleet) pool(name string) *core.PoolConfig {
+	if f.config == nil {
+		return nil
+	}
+	return f.config.Pools[name]
+}
+
+func (f *Fleet) publish() {
+	s := &Snapshot{Pools: map[string][]*Upstream{}, ByID: make(map[string]*Upstream, len(f.upstreams))}
+	for id, u := range f.upstreams {
+		s.ByID[id] = u
+		p := u.Peer()
+		if !p.Draining && !f.out[p.Zone] {
+			s.Pools[p.Pool] = append(s.Pools[p.Pool], u)
+		}
+	}
+	f.snapshot.Store(s)
+}
+
+// Beat takes over the number of requests that the other gates have at each
+// upstream, by key. It belongs to the control goroutine.
+func (f *Fleet) Beat(loads map[uint64]int) {
+	for _, u := range f.upstreams {
+		u.remote.Store(int64(loads[u.Key]))
+	}
+}
+
+// Loads returns this gate's requests at each upstream that has any, by key.
+func (f *Fleet) Loads() map[uint64]int {
+	loads := map[uint64]int{}
+	for _, u := range f.Snapshot().ByID {
+		if n := u.Own(); n > 0 {
+			loads[u.Key] = n
+		}
+	}
+	return loads
+}
+
+// Tick closes connections that have been idle for too long. It belongs to the
+// control goroutine.
+func (f *Fleet) Tick(now time.Time) {
+	for _, u := range f.upstreams {
+		u.Conn.Sweep(now)
+	}
+}
--- /dev/null
+++ b/gate/process/fleet/pick.go
@@ -0,0 +1,121 @@
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"parsleyroute.example/core"
+)
+
+const (
+	// failureWeight is how much more loaded an upstream counts that fails all
+	// requests. At 6, one that fails half of them gets a quarter of the work.
+	failureWeight = 6
+	// queuedPerSlot is the number of requests that may wait at a plain upstream
+	// for each that runs there.
+	queuedPerSlot = 1
+	// queuedAtEngine is the number of requests that may wait at an engine, so
+	// that a place is taken again with the next pass.
+	queuedAtEngine = 3
+	// zoneBias is the load that the way to another zone counts as.
+	zoneBias = 0.4
+	// defaultSlots is assumed for an upstream that does not tell its slots.
+	defaultSlots = 8
+)
+
+// Picker chooses the upstream of a request.
+type Picker struct {
+	Fleet *Fleet
+	// Zone is the gate's own zone.
+	Zone string
+}
+
+// Pick returns the least loaded sound upstream of the pool that has a free
+// place, or nil. Those in tried are left out. It counts a request at the
+// upstream, as Begin does.
+func (p *Picker) Pick(now time.Time, pool *core.PoolConfig, tried []*Upstream) *Upstream {
+	list := p.Fleet.Snapshot().Pools[pool.Name]
+	for range list {
+		u := p.best(now, pool, list, tried)
+		if u == nil {
+			return nil
+		}
+		if u.admitCold(now, p.coldShare(pool)) {
+			u.Begin()
+			return u
+		}
+		tried = append(slices.Clip(tried), u)
+	}
+	return nil
+}
+
+// coldShare returns the requests a second that this gate may send to one cold
+// upstream.
+func (p *Picker) coldShare(pool *core.PoolConfig) int {
+	b := p.Fleet.Bounds
+	all := (pool.ColdRate*b.ColdOvershoot + b.ColdSlack) * coldShare
+	return max(1, int(all/float64(p.Fleet.Gates())))
+}
+
+func (p *Picker) best(now time.Time, pool *core.PoolConfig, list, tried []*Upstream) *Upstream {
+	var best *Upstream
+	least := math.Inf(1)
+	// A random start spreads the choice among equals.
+	start := rand.IntN(max(1, len(list)))
+	for i := range list {
+		u := list[(start+i)%len(list)]
+		if slices.Contains(tried, u) || u.paused(now) || u.Load() >= limit(pool, u) {
+			continue
+		}
+		score := (float64(u.Load()) + 1) * (1 + failureWeight*u.FailureRate(now))
+		if u.Zone != p.Zone {
+			score += zoneBias
+		}
+		if score < least {
+			best, least = u, score
+		}
+	}
+	return best
+}
+
+// limit returns the number of requests that an upstream may have at once.
+func limit(pool *core.PoolConfig, u *Upstream) int {
+	if pool.Engine != nil {
+		return pool.Engine.Slots + queuedAtEngine
+	}
+	slots := u.Peer().Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return slots * (1 + queuedPerSlot)
+}
+
+// State tells why no upstream was picked.
+type State int
+
+// The states of a pool.
+const (
+	// Free pools have an upstream with a free place.
+	Free State = iota
+	// Full pools have sound upstreams, all of whose places are taken.
+	Full
+	// Down pools have no upstream that may take work.
+	Down
+)
+
+// State returns the state of a pool.
+func (p *Picker) State(now time.Time, pool *core.PoolConfig) State {
+	state := Down
+	for _, u := range p.Fleet.Snapshot().Pools[pool.Name] {
+		if u.paused(now) {
+			continue
+		}
+		if u.Load() < limit(pool, u) {
+			return Free
+		}
+		state = Full
+	}
+	return state
+}
--- /dev/null
+++ b/gate/request/relay/trip.go
@@ -0,0 +1,300 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/meter"
+	"parsleyroute.example/core/request/admit"
+	"parsleyroute.example/gate/conn/inlet"
+	"parsleyroute.example/gate/process/fleet"
+)
+
+const (
+	// queueLength bounds the requests that wait for one pool at one gate.
+	queueLength = 256
+	// startRetry tells callers when to come back to a gate that has just
+	// started and knows no configuration.
+	startRetry = 300 * time.Millisecond
+	// downRetry tells callers when to come back while a pool has no upstream:
+	// crashed upstreams are replaced within a few seconds.
+	downRetry = 2500 * time.Millisecond
+	// fullRetry tells callers when to come back to a pool whose places are
+	// taken.
+	fullRetry = 600 * time.Millisecond
+	// retryPart is the part of the time left that callers wait at most.
+	retryPart = 3
+	// downHold is the part of the objective for which a request waits for a
+	// pool that has no upstream.
+	downHold = 8
+	// maxUnsent bounds the upstreams that are tried without sending anything.
+	maxUnsent = 4
+	// answerMargin is the time kept to write a last answer before the deadline.
+	answerMargin = 15 * time.Millisecond
+)
+
+// trip is one request on its way.
+type trip struct {
+	r       *Relay
+	x       *inlet.Exchange
+	info    core.CallInfo
+	route   *core.RouteConfig
+	pool    *core.PoolConfig
+	state   *poolState
+	team    *core.TeamConfig
+	version uint64
+	start   time.Time
+	// deadline is when the last answer is due.
+	deadline time.Time
+
+	// tried holds the upstreams that were asked, sends counts the requests that
+	// were sent, unsent the upstreams that could not be reached.
+	tried  []*fleet.Upstream
+	sends  int
+	unsent int
+	// mayHaveRun is set once an upstream may have begun the work.
+	mayHaveRun bool
+	waited     time.Duration
+
+	stream streamState
+	// last is an upstream's own error answer, passed on if no retry does better.
+	last *answer
+}
+
+// repeatable reports whether the request may run more than once.
+func (t *trip) repeatable() bool {
+	return t.route.Kind == core.RouteSafe || t.route.Kind == core.RouteStream && t.route.Resume
+}
+
+func (t *trip) run() {
+	t.deadline = t.start.Add(t.route.Timeout)
+	if d := t.info.Deadline; d > 0 && (t.route.Timeout == 0 || d < t.route.Timeout) {
+		t.deadline = t.start.Add(d)
+	}
+	t.deadline = t.deadline.Add(-answerMargin)
+	t.state = t.r.pool(t.pool.Name)
+	t.state.budget.First(t.start)
+	t.stream.last, t.stream.has = t.info.LastEvent, t.info.HasLastEvent
+	ctx, cancel := context.WithDeadline(t.x.Context(), t.deadline)
+	defer cancel()
+	for {
+		u := t.acquire(ctx)
+		if u == nil {
+			return
+		}
+		v := t.attempt(ctx, u)
+		t.state.queue.Grant()
+		if v == verdictDone || !t.again(ctx, v) {
+			return
+		}
+	}
+}
+
+// acquire returns an upstream for the next send, or nil once it has written the
+// last answer.
+func (t *trip) acquire(ctx context.Context) *fleet.Upstream {
+	var u *fleet.Upstream
+	now := time.Now()
+	hold := t.hold(now)
+	item := &admit.Item{
+		Class: t.pool.Name, Priority: -t.priority(), Deadline: hold,
+		Use: func() bool {
+			u = t.r.Picker.Pick(time.Now(), t.pool, t.tried)
+			return u != nil
+		},
+	}
+	if t.team != nil {
+		item.Team = t.team.Name
+	}
+	err := t.state.queue.Wait(ctx, item)
+	if err == nil {
+		t.waited += time.Since(now)
+		return u
+	}
+	t.waited += time.Since(now)
+	t.unplaced(ctx, err)
+	return nil
+}
+
+func (t *trip) priority() int {
+	if t.team != nil && t.team.HasPriority {
+		return t.team.Priority
+	}
+	return t.route.Priority
+}
+
+// hold returns until when the request waits for a place.
+func (t *trip) hold(now time.Time) time.Time {
+	wait := t.route.Objective
+	if t.r.Picker.State(now, t.pool) == fleet.Down {
+		wait /= downHold
+	}
+	if at := now.Add(wait); at.Before(t.deadline) {
+		return at
+	}
+	return t.deadline
+}
+
+// unplaced writes the last answer of a request that got no upstream.
+func (t *trip) unplaced(ctx context.Context, err error) {
+	if t.x.Context().Err() != nil {
+		t.gone()
+		return
+	}
+	if t.last != nil {
+		t.pass(t.last)
+		return
+	}
+	reason := core.ReasonNoUpstream
+	if refusal, ok := core.AsRefusal(err); ok {
+		reason = refusal.Reason
+	}
+	after := fullRetry
+	if t.r.Picker.State(time.Now(), t.pool) == fleet.Down {
+		reason, after = core.ReasonNoUpstream, downRetry
+	}
+	if t.mayHaveRun {
+		t.fail(ctx, reason, "no upstream was left to go on")
+		return
+	}
+	t.refuse(fasthttp.StatusServiceUnavailable, reason, "no upstream has a free place", after)
+}
+
+// again decides whether the request is sent once more after the verdict, and
+// otherwise writes the last answer.
+func (t *trip) again(ctx context.Context, v verdict) bool {
+	now := time.Now()
+	cause := v.reason()
+	switch {
+	case t.x.Context().Err() != nil:
+		t.gone()
+		return false
+	case ctx.Err() != nil:
+		t.late(cause)
+		return false
+	case v == verdictUnsent:
+		if t.unsent++; t.unsent < maxUnsent {
+			meter.Retry(cause)
+			return true
+		}
+	case v == verdictNotRun || t.repeatable():
+		if t.sends < t.route.Attempts && t.state.budget.Take(now, t.r.Picker.Fleet.Gates()) {
+			meter.Retry(cause)
+			t.log("retry", "cause", string(cause), "sends", t.sends, "tried", len(t.tried))
+			return true
+		}
+	}
+	switch {
+	case t.last != nil:
+		t.pass(t.last)
+	case t.mayHaveRun:
+		t.fail(ctx, cause, "the upstream's answer was lost")
+	default:
+		after := fullRetry
+		if v == verdictUnsent || t.r.Picker.State(now, t.pool) == fleet.Down {
+			after = downRetry
+		}
+		t.refuse(fasthttp.StatusServiceUnavailable, cause, "the upstreams asked did not run the request", after)
+	}
+	return false
+}
+
+// late writes the last answer of a request whose time is over.
+func (t *trip) late(cause core.Reason) {
+	switch {
+	case t.last != nil:
+		t.pass(t.last)
+	case t.x.Began():
+		t.abort(core.ReasonDeadline)
+	case t.mayHaveRun:
+		t.failWith(fasthttp.StatusGatewayTimeout, core.ReasonDeadline, "the upstream did not answer in time")
+	default:
+		t.refuse(fasthttp.StatusServiceUnavailable, cause, "no upstream ran the request in time", fullRetry)
+	}
+}
+
+// fail writes the last answer of a request that may have run.
+func (t *trip) fail(ctx context.Context, reason core.Reason, message string) {
+	switch {
+	case t.x.Began():
+		t.abort(reason)
+	case ctx.Err() != nil:
+		t.failWith(fasthttp.StatusGatewayTimeout, reason, message)
+	default:
+		t.failWith(fasthttp.StatusBadGateway, reason, message)
+	}
+}
+
+func (t *trip) failWith(status int, reason core.Reason, message string) {
+	t.respond(status, reason, core.RunUnknown, message, 0)
+}
+
+// refuse writes an answer that promises that the request has not run. after
+// tells the caller when to come back; zero leaves that open.
+func (t *trip) refuse(status int, reason core.Reason, message string, after time.Duration) {
+	if !t.deadline.IsZero() && after > 0 {
+		after = min(after, time.Until(t.deadline)/retryPart)
+	}
+	t.respond(status, reason, core.RunNo, message, after)
+}
+
+// errorBody is the body of an answer of the gate's own.
+type errorBody struct {
+	Error struct {
+		Reason  core.Reason `json:"reason"`
+		Message string      `json:"message"`
+		Run     core.Run    `json:"run"`
+	} `json:"error"`
+}
+
+func (t *trip) respond(status int, reason core.Reason, run core.Run, message string, after time.Duration) {
+	meter.Refusal(reason)
+	var body errorBody
+	body.Error.Reason, body.Error.Message, body.Error.Run = reason, message, run
+	data, err := json.Marshal(body)
+	if err != nil {
+		t.log("error", "error", err)
+	}
+	lines := []byte("Content-Type: application/json\r\n")
+	if after > 0 {
+		lines = append(lines, "Retry-After: "...)
+		lines = strconv.AppendFloat(lines, after.Seconds(), 'f', 3, 64)
+		lines = append(lines, "\r\n"...)
+	}
+	t.log("refused", "status", status, "reason", string(reason), "run", string(run), "retry_after", after,
+		"sends", t.sends, "waited", t.waited, "message", message)
+	if err := t.x.Respond(status, lines, data); err != nil {
+		t.log("caller_lost", "error", err)
+	}
+}
+
+// abort breaks off an answer that has begun.
+func (t *trip) abort(reason core.Reason) {
+	meter.Refusal(core.ReasonStreamBroken)
+	t.log("broken_off", "reason", string(reason), "last_event", t.stream.last, "sends", t.sends)
+	t.x.Abort()
+}
+
+// gone ends a request whose caller has left.
+func (t *trip) gone() {
+	meter.Refusal(core.ReasonCanceled)
+	t.log("caller_gone", "sends", t.sends, "waited", t.waited)
+	t.x.Abort()
+}
+
+// log writes a decision on the request.
+func (t *trip) log(event string, fields ...any) {
+	f := []any{"request", t.info.Attempt, "age", time.Since(t.start)}
+	if t.route != nil {
+		f = append(f, "route", t.route.Name, "config", t.version)
+	}
+	if t.pool != nil {
+		f = append(f, "pool", t.pool.Name)
+	}
+	t.r.Trail.Log(event, append(f, fields...)...)
+}
--- /dev/null
+++ b/gate/serve/client.go
@@ -0,0 +1,17 @@
+package serve
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"parsleyroute.example/core/conn/dial"
+)
+
+// peerClient calls other gates.
+var peerClient = &http.Client{Transport: &http.Transport{
+	DialContext:         func(_ context.Context, _, addr string) (net.Conn, error) { return dial.Func(addr) },
+	MaxIdleConnsPerHost: 1,
+	IdleConnTimeout:     10 * time.Second,
+}}
