Balance the experts of the groups on the platform

Cause: with expert map 0 the most loaded rank has 3.4 times the mean load, so a pass takes 112 ms and three quarters of the streams are late.

Change: a gate that holds a lease reads the counts through a small process beside each rank and switches the group's map: prepare, hold a pass, arm all, release. expert.Bounded plans a map within the new experts a rank can take.

--- a/core/direct.go
+++ b/core/direct.go
@@ -139,6 +139,20 @@
 	Draining bool
 	// Cold is how long the upstream stays cold after the entry was written.
 	Cold time.Duration
+	// Group places a rank in its group; Group.Name is empty for others.
+	Group PeerGroup
+}
+
+// PeerGroup is a rank's place in its group of ranks.
+type PeerGroup struct {
+	Name string
+	// Epoch counts how often the group has formed.
+	Epoch uint64
+	Rank  int
+	// Size is the number of ranks in the group.
+	Size int
+	// Broken is set while the group runs no passes, since a rank is missing.
+	Broken bool
 }
 
 // The kinds of the platform's own objects.
--- /dev/null
+++ b/core/process/start/direct.go
@@ -0,0 +1,95 @@
+package start
+
+import (
+	"context"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/spf13/cobra"
+
+	"parsleyroute.example/core/process/conf"
+	"parsleyroute.example/core/process/logs"
+	"parsleyroute.example/core/process/trail"
+)
+
+const (
+	// flushTime bounds the wait for log lines at the end of the process.
+	flushTime = 200 * time.Millisecond
+	// smallProcs is the number of processor threads that run Go code at once in
+	// processes that have a part of one core.
+	smallProcs = 1
+	// heapTenths is the part of the memory, in tenths, that the heap may take
+	// before it is collected more often.
+	heapTenths = 7
+)
+
+// Checked is implemented by settings that can be checked.
+type Checked interface{ Check() error }
+
+// Small is a program that runs in a small part of a machine and logs its
+// decisions. S holds its settings.
+type Small[S any, P interface {
+	*S
+	Checked
+}] struct {
+	Name  string
+	Short string
+	// Version is printed by --version.
+	Version string
+	// Identity returns the instance's name and its memory in MB, zero if it has
+	// no bound.
+	Identity func(S) (instance string, memory int)
+	// Run serves until ctx ends, then drains.
+	Run func(ctx context.Context, settings S, t *trail.Trail) error
+}
+
+// Main runs the program with the process's command line and ends the process.
+func (p *Small[S, P]) Main() {
+	ctx, stop := Signals()
+	defer stop()
+	if err := p.command().ExecuteContext(ctx); err != nil {
+		_ = level.Error(logs.New(os.Stderr, p.Name, "", "")).Log("msg", "the program failed", "err", err.Error())
+		stop()
+		os.Exit(1)
+	}
+}
+
+func (p *Small[S, P]) command() *cobra.Command {
+	var path string
+	var checkOnly bool
+	cmd := &cobra.Command{
+		Use:           p.Name + " --settings FILE",
+		Short:         p.Short,
+		Version:       p.Version,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var s S
+			if err := conf.Load(path, &s); err != nil {
+				return err
+			}
+			if err := P(&s).Check(); err != nil || checkOnly {
+				return err
+			}
+			return p.run(cmd.Context(), s)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", p.Name+".toml", "settings file")
+	cmd.Flags().BoolVar(&checkOnly, "check", false, "check the settings and exit")
+	return cmd
+}
+
+func (p *Small[S, P]) run(ctx context.Context, s S) error {
+	instance, memory := p.Identity(s)
+	runtime.GOMAXPROCS(smallProcs)
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(memory) << 20 / 10 * heapTenths)
+	}
+	t := trail.New(os.Stdout, p.Name, instance)
+	defer t.Close(flushTime)
+	return p.Run(ctx, s, t)
+}
--- a/core/protocol.go
+++ b/core/protocol.go
@@ -99,15 +99,8 @@
 	Waiting  int
 	// Pace is above 1 if the engine is slow.
 	Pace float64
-}
-
-// RankCounts tells how often a rank's requests have chosen each expert since
-// the engine process started.
-type RankCounts struct {
-	Born  int64
-	Epoch uint64
-	Step  uint64
-	// Counts holds the counts set by set.
+	// Counts tells how often the rank's requests have chosen each expert since
+	// the engine process started, set by set; nil if it was not asked for.
 	Counts []uint64
 }
 
@@ -120,6 +113,8 @@
 	RankPrepare RankVerb = "prepare"
 	// RankArm has the rank switch to a prepared map as a pass begins.
 	RankArm RankVerb = "arm"
+	// RankDisarm takes that back.
+	RankDisarm RankVerb = "disarm"
 	// RankHold keeps the group from beginning a pass; RankRelease ends that.
 	RankHold    RankVerb = "hold"
 	RankRelease RankVerb = "release"
@@ -138,15 +133,24 @@
 	Placement [][][]int
 }
 
+// RankAddr is where a rank's engine and the process beside it are reached.
+type RankAddr struct {
+	// Instance names the engine process; it guards against an address that
+	// another one has taken over.
+	Instance string
+	Engine   netip.AddrPort
+}
+
 // Ranks is the control interface of the ranks of a group. Its errors are
 // trace.CompareFailed if the order does not fit the rank's state,
-// trace.AccessDenied if a higher fencing token was seen, and
-// trace.ConnectionProblem if the order may have been or may yet be carried
-// out. instance guards against an address that another process has taken over.
+// trace.AccessDenied if a higher fencing token was seen, trace.NotFound if
+// another engine has the address, and trace.ConnectionProblem if the order may
+// have been or may yet be carried out.
 type Ranks interface {
-	Report(ctx context.Context, addr netip.AddrPort, instance string) (RankReport, error)
-	Counts(ctx context.Context, addr netip.AddrPort, instance string) (RankCounts, error)
+	// Report returns the rank's state, with the counts of its experts if they
+	// are asked for.
+	Report(ctx context.Context, rank RankAddr, counts bool) (RankReport, error)
 	// Placement returns the experts of the rank by set, of the map in use.
-	Placement(ctx context.Context, addr netip.AddrPort, instance string) (version uint64, experts [][]int, err error)
-	Order(ctx context.Context, addr netip.AddrPort, instance string, o RankOrder) error
+	Placement(ctx context.Context, rank RankAddr) (version uint64, experts [][]int, err error)
+	Order(ctx context.Context, rank RankAddr, o RankOrder) error
 }
--- /dev/null
+++ b/core/version/expert/bounded.go
@@ -0,0 +1,320 @@
+package expert
+
+import (
+	"math"
+	"slices"
+
+	"parsleyroute.example/core"
+)
+
+// Lists names the experts of each rank, by set and rank. Unlike a
+// core.ExpertMap, ranks may leave places empty.
+type Lists [][][]int
+
+// InTurn returns the lists that give the experts to the ranks in turn.
+func InTurn(sets, ranks, experts int) Lists {
+	l := make(Lists, sets)
+	for s := range l {
+		l[s] = make([][]int, ranks)
+		for e := range experts {
+			l[s][e%ranks] = append(l[s][e%ranks], e)
+		}
+	}
+	return l
+}
+
+// Clone returns a deep copy.
+func (l Lists) Clone() Lists {
+	c := make(Lists, len(l))
+	for s := range l {
+		c[s] = make([][]int, len(l[s]))
+		for r := range l[s] {
+			c[s][r] = slices.Clone(l[s][r])
+		}
+	}
+	return c
+}
+
+// Skew returns the skew of a step, as the function Skew does for maps.
+func (l Lists) Skew(load core.ExpertLoad) float64 {
+	var slowest, mean float64
+	for s, ranks := range l {
+		loads := listLoads(ranks, load[s])
+		slowest += slices.Max(loads)
+		mean += total(load[s]) / float64(len(ranks))
+	}
+	return ratio(slowest, mean)
+}
+
+// NewExperts returns the number of experts that are new to a rank in next, over
+// all ranks and sets, and the greatest number for one rank.
+func (l Lists) NewExperts(next Lists) (all, most int) {
+	for r := range l[0] {
+		n := 0
+		for s := range l {
+			for _, e := range next[s][r] {
+				if !slices.Contains(l[s][r], e) {
+					n++
+				}
+			}
+		}
+		all += n
+		most = max(most, n)
+	}
+	return all, most
+}
+
+func listLoads(ranks [][]int, load []float64) []float64 {
+	n := make([]int, len(load))
+	for _, list := range ranks {
+		for _, e := range list {
+			n[e]++
+		}
+	}
+	loads := make([]float64, len(ranks))
+	for r, list := range ranks {
+		for _, e := range list {
+			loads[r] += load[e] / float64(n[e])
+		}
+	}
+	return loads
+}
+
+// Bounded improves lists of experts where a rank can take only a few new
+// experts at once. In each set it repeatedly takes the best change at the most
+// loaded rank: another replica of one of its experts, a move or a swap. The
+// changes are judged by the sum of the eighth powers of the rank loads, which
+// favours the most loaded rank and has no plateaus.
+type Bounded struct {
+	// Places is the greatest number of experts of a set on one rank.
+	Places int
+	// Spare is the greatest number of experts of a set that may be new to a
+	// rank.
+	Spare int
+	// MoveCost is the reduction of a set's greatest load, as a part of its mean
+	// load, that pays for one new expert on one rank; zero means that moves are
+	// free.
+	MoveCost float64
+	// Target is the skew at which the search ends; zero means 1.03.
+	Target float64
+}
+
+// Place returns better lists, or nil if there are none. It returns nil for a
+// load of another shape.
+func (p Bounded) Place(current Lists, load core.ExpertLoad) Lists {
+	if len(load) != len(current) {
+		return nil
+	}
+	next := current.Clone()
+	changed := false
+	for s := range current {
+		if total(load[s]) <= 0 {
+			continue
+		}
+		if p.improve(next[s], load[s]) {
+			changed = true
+		}
+	}
+	if !changed {
+		return nil
+	}
+	return next
+}
+
+// placing is one set under search.
+type placing struct {
+	load  []float64
+	ranks [][]int
+	start [][]int
+	n     []int // replicas of each expert
+	loads []float64
+	mean  float64
+}
+
+// edit adds expert add to rank at, in the place of evict unless that is
+// negative. With moved, the expert leaves the most loaded rank, which takes
+// evict in exchange.
+type edit struct {
+	at, add, evict int
+	moved          bool
+	score          float64
+}
+
+// improve changes the ranks' lists and reports whether it did.
+func (p Bounded) improve(ranks [][]int, load []float64) bool {
+	target := p.Target
+	if target == 0 {
+		target = 1.03
+	}
+	s := &placing{load: load, ranks: ranks, start: make([][]int, len(ranks)), n: make([]int, len(load))}
+	for r := range ranks {
+		s.start[r] = slices.Clone(ranks[r])
+		for _, e := range ranks[r] {
+			s.n[e]++
+		}
+	}
+	s.mean = total(load) / float64(len(ranks))
+	changed := false
+	for range 4 * len(ranks) {
+		s.loads = listLoads(ranks, load)
+		hot := slices.Index(s.loads, slices.Max(s.loads))
+		if s.loads[hot] <= target*s.mean {
+			break
+		}
+		best, ok := s.best(p, hot)
+		if !ok || best.score <= p.MoveCost {
+			break
+		}
+		s.apply(best, hot)
+		changed = true
+	}
+	return changed
+}
+
+// best returns the edit at the hot rank with the greatest reduction of the
+// potential for each new expert.
+func (s *placing) best(p Bounded, hot int) (edit, bool) {
+	best, found := edit{score: math.Inf(-1)}, false
+	consider := func(e edit) {
+		if v, ok := s.judge(p, e, hot); ok && v > best.score {
+			e.score = v
+			best, found = e, true
+		}
+	}
+	for _, x := range s.ranks[hot] {
+		for q := range s.ranks {
+			if q == hot || s.loads[q] >= s.loads[hot] || slices.Contains(s.ranks[q], x) {
+				continue
+			}
+			if len(s.ranks[q]) < p.Places {
+				consider(edit{at: q, add: x, evict: -1})
+				consider(edit{at: q, add: x, evict: -1, moved: true})
+			}
+			for _, y := range s.ranks[q] {
+				if s.n[y] > 1 {
+					consider(edit{at: q, add: x, evict: y})
+				}
+				if !slices.Contains(s.ranks[hot], y) {
+					consider(edit{at: q, add: x, evict: y, moved: true})
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+// judge returns the reduction of the potential by an edit for each new expert,
+// as a part of the mean load, and whether the edit is allowed.
+func (s *placing) judge(p Bounded, e edit, hot int) (float64, bool) {
+	touched := s.trial(e, hot)
+	fresh := 0
+	for _, t := range touched {
+		n := s.fresh(t.rank, t.list)
+		if n > p.Spare {
+			return 0, false
+		}
+		fresh += n - s.fresh(t.rank, s.ranks[t.rank])
+	}
+	before, after := 0.0, 0.0
+	loads := s.loadsWith(e, hot)
+	for r := range loads {
+		before += eighth(s.loads[r] / s.mean)
+		after += eighth(loads[r] / s.mean)
+	}
+	// The eighth root brings the sums back to the scale of a load.
+	gain := math.Pow(before, 1.0/8) - math.Pow(after, 1.0/8)
+	return gain / float64(max(1, fresh)), gain > 1e-9
+}
+
+type trialList struct {
+	rank int
+	list []int
+}
+
+// trial returns the lists of the ranks that an edit changes.
+func (s *placing) trial(e edit, hot int) []trialList {
+	at := replaceIn(s.ranks[e.at], e.evict, e.add)
+	if !e.moved {
+		return []trialList{{e.at, at}}
+	}
+	return []trialList{{e.at, at}, {hot, replaceIn(s.ranks[hot], e.add, e.evict)}}
+}
+
+// replaceIn returns the list without out and with in; negative ones are left
+// out.
+func replaceIn(list []int, out, in int) []int {
+	c := make([]int, 0, len(list)+1)
+	for _, e := range list {
+		if e != out {
+			c = append(c, e)
+		}
+	}
+	if in >= 0 {
+		c = append(c, in)
+	}
+	return c
+}
+
+// fresh returns the number of experts in the list that the rank did not have at
+// the start.
+func (s *placing) fresh(rank int, list []int) int {
+	n := 0
+	for _, e := range list {
+		if !slices.Contains(s.start[rank], e) {
+			n++
+		}
+	}
+	return n
+}
+
+// loadsWith returns the rank loads after an edit.
+func (s *placing) loadsWith(e edit, hot int) []float64 {
+	loads := slices.Clone(s.loads)
+	if e.moved {
+		size := s.load[e.add] / float64(s.n[e.add])
+		loads[hot] -= size
+		loads[e.at] += size
+		if e.evict >= 0 {
+			back := s.load[e.evict] / float64(s.n[e.evict])
+			loads[hot] += back
+			loads[e.at] -= back
+		}
+		return loads
+	}
+	s.spread(loads, e.add, s.n[e.add]+1)
+	loads[e.at] += s.load[e.add] / float64(s.n[e.add]+1)
+	if e.evict >= 0 {
+		s.spread(loads, e.evict, s.n[e.evict]-1)
+		loads[e.at] -= s.load[e.evict] / float64(s.n[e.evict]-1)
+	}
+	return loads
+}
+
+// spread changes the loads of the ranks that hold an expert to that with n
+// replicas.
+func (s *placing) spread(loads []float64, expert, n int) {
+	d := s.load[expert]/float64(n) - s.load[expert]/float64(s.n[expert])
+	for r, list := range s.ranks {
+		if slices.Contains(list, expert) {
+			loads[r] += d
+		}
+	}
+}
+
+func (s *placing) apply(e edit, hot int) {
+	for _, t := range s.trial(e, hot) {
+		s.ranks[t.rank] = t.list
+	}
+	if !e.moved {
+		s.n[e.add]++
+		if e.evict >= 0 {
+			s.n[e.evict]--
+		}
+	}
+}
+
+func eighth(x float64) float64 {
+	x *= x
+	x *= x
+	return x * x
+}
--- a/core/wire/relay.twirp.go
+++ b/core/wire/relay.twirp.go
@@ -506,7 +506,7 @@
 }
 
 func (s *relayServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *relayServer) ProtocGenTwirpVersion() string {
@@ -520,7 +520,7 @@
 	return baseServicePath(s.pathPrefix, "wire", "Relay")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 409 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x52, 0x3d, 0x8f, 0xd4, 0x30,
 	0x10, 0x55, 0x2e, 0x1f, 0xbb, 0x99, 0x04, 0x01, 0x16, 0x85, 0xb5, 0x55, 0x14, 0x04, 0xa4, 0x61,
--- a/core/wire/trace.twirp.go
+++ b/core/wire/trace.twirp.go
@@ -503,7 +503,7 @@
 }
 
 func (s *traceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *traceServer) ProtocGenTwirpVersion() string {
@@ -517,7 +517,7 @@
 	return baseServicePath(s.pathPrefix, "wire", "Trace")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 177 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0xe2, 0x2e, 0x29, 0x4a, 0x4c,
 	0x4e, 0xd5, 0x2b, 0x28, 0xca, 0x2f, 0xc9, 0x17, 0x62, 0x29, 0xcf, 0x2c, 0x4a, 0x55, 0xd2, 0xe7,
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -264,3 +264,17 @@
 	}
 	return n
 }
+
+// First reports whether fewer than n living gates that are not leaving have an
+// address below this one's.
+func (g *Gossip) First(n int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	below := 0
+	for a, p := range g.peers {
+		if !p.lost && !p.beat.GetLeaving() && a.Compare(g.Listen) < 0 {
+			below++
+		}
+	}
+	return below < n
+}
--- /dev/null
+++ b/gate/process/ranks/group.go
@@ -0,0 +1,144 @@
+package ranks
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/trail"
+	"parsleyroute.example/core/version/expert"
+)
+
+// Spec is a group as the platform lists it.
+type Spec struct {
+	Name   string
+	Pool   string
+	Engine core.EngineConfig
+	// Members holds the ranks in order. Size is their number when the group is
+	// complete.
+	Members []core.RankAddr
+	Size    int
+}
+
+// complete reports whether all ranks are listed.
+func (s *Spec) complete() bool { return s.Size > 0 && len(s.Members) == s.Size }
+
+// Specs returns the groups among the upstreams, by name.
+func Specs(config *core.Config, upstreams map[string]*core.Peer) map[string]*Spec {
+	specs := map[string]*Spec{}
+	if config == nil {
+		return specs
+	}
+	ranked := map[string][]*core.Peer{}
+	for _, p := range upstreams {
+		pool := config.Pools[p.Pool]
+		if p.Group.Name == "" || pool == nil || pool.Engine == nil || pool.Engine.Sets == 0 {
+			continue
+		}
+		ranked[p.Group.Name] = append(ranked[p.Group.Name], p)
+	}
+	for name, peers := range ranked {
+		slices.SortFunc(peers, func(a, b *core.Peer) int { return cmp.Compare(a.Group.Rank, b.Group.Rank) })
+		s := &Spec{Name: name, Pool: peers[0].Pool, Engine: *config.Pools[peers[0].Pool].Engine, Size: peers[0].Group.Size}
+		for i, p := range peers {
+			if p.Group.Rank != i {
+				// A rank is missing, or its successor is listed beside it.
+				s.Members = nil
+				break
+			}
+			s.Members = append(s.Members, core.RankAddr{Instance: p.ID, Engine: p.Addr})
+		}
+		specs[name] = s
+	}
+	return specs
+}
+
+// group is what the leader knows of one group. It belongs to one goroutine.
+type group struct {
+	spec  *Spec
+	ranks core.Ranks
+	trail *trail.Trail
+	// token is the lease's, switches the number of versions made under it.
+	token    uint64
+	switches uint64
+
+	epoch uint64
+	// version and lists are the map in use; lists is nil while it is unknown.
+	version uint64
+	lists   expert.Lists
+	// pending is a switch that was released and has not been seen in use.
+	pending *pending
+
+	seen  map[int]observation
+	decay expert.Decay
+	// margin is the number of passes between the hold and now; marginMu guards
+	// it.
+	marginMu sync.Mutex
+	margin   uint64
+	load     core.ExpertLoad
+	// observed is how much time the load covers.
+	observed time.Duration
+}
+
+type pending struct {
+	version, step uint64
+	lists         expert.Lists
+}
+
+// observation is the last count of a rank.
+type observation struct {
+	born   int64
+	counts []uint64
+	at     time.Time
+}
+
+// reset forgets what belongs to an epoch that has ended.
+func (g *group) reset(epoch uint64) {
+	g.trail.Log("group_formed", "group", g.spec.Name, "epoch", epoch, "former", g.epoch)
+	g.epoch, g.version, g.lists, g.pending = epoch, 0, nil, nil
+	g.seen = map[int]observation{}
+}
+
+// nextVersion returns a map version that no leader has used before.
+func (g *group) nextVersion() uint64 {
+	g.switches++
+	return g.token*versionsPerToken + g.switches
+}
+
+// versionsPerToken bounds the switches that one leader makes. Versions stay
+// below the integers that JSON numbers hold exactly.
+const versionsPerToken = 100000
+
+// observe adds the counts of the reports to the load.
+func (g *group) observe(now time.Time, reports []core.RankReport) {
+	e := &g.spec.Engine
+	sum := make(core.ExpertLoad, e.Sets)
+	for s := range sum {
+		sum[s] = make([]float64, e.Experts)
+	}
+	var span time.Duration
+	any := false
+	for i, r := range reports {
+		last, ok := g.seen[i]
+		if len(r.Counts) != e.Sets*e.Experts {
+			continue
+		}
+		g.seen[i] = observation{born: r.Born, counts: r.Counts, at: now}
+		if !ok || last.born != r.Born || len(last.counts) != len(r.Counts) {
+			continue
+		}
+		span = max(span, now.Sub(last.at))
+		for j, n := range r.Counts {
+			if n > last.counts[j] {
+				sum[j/e.Experts][j%e.Experts] += float64(n - last.counts[j])
+				any = true
+			}
+		}
+	}
+	if any {
+		g.load = g.decay.Add(sum, span)
+		g.observed += span
+	}
+}
--- /dev/null
+++ b/gate/process/ranks/leader.go
@@ -0,0 +1,128 @@
+package ranks
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/lease"
+	"parsleyroute.example/core/process/meter"
+	"parsleyroute.example/core/process/trail"
+)
+
+const (
+	// leaseName names the lease of the leader of all groups.
+	leaseName = "ranks"
+	// leaseTTL is how long the groups may be without a leader after one has
+	// died; leaseRenew the time between its renewals, each of which is a call
+	// to the store.
+	leaseTTL   = 2400 * time.Millisecond
+	leaseRenew = 800 * time.Millisecond
+)
+
+// Leader contends for the lease and balances all groups while it holds it. Its
+// exported fields are set before Run.
+type Leader struct {
+	Ranks core.Ranks
+	Store core.Store
+	Trail *trail.Trail
+	// Holder names this process among the contenders.
+	Holder string
+	// Contends reports whether this gate contends for the lease now.
+	Contends func() bool
+
+	specs atomic.Pointer[map[string]*Spec]
+	lease atomic.Pointer[lease.Lease]
+}
+
+// Update takes over the groups.
+func (l *Leader) Update(specs map[string]*Spec) { l.specs.Store(&specs) }
+
+// Run leads until ctx ends. Switches that have begun are ended first.
+func (l *Leader) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { l.contend(ctx) })
+	groups := map[string]*group{}
+	busy := map[string]*atomic.Bool{}
+	tick := time.NewTicker(roundPeriod)
+	defer tick.Stop()
+	var leading uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		token, ok := l.held()
+		if token != leading {
+			l.Trail.Log("leader", "leading", ok, "token", token, "former", leading)
+			leading = token
+			// What a former term believed may be out of date. A round that is
+			// still under way ends with its own group.
+			groups, busy = map[string]*group{}, map[string]*atomic.Bool{}
+		}
+		if !ok {
+			continue
+		}
+		for name, spec := range *l.specs.Load() {
+			g := groups[name]
+			if g == nil {
+				g = &group{ranks: l.Ranks, trail: l.Trail, token: token}
+				groups[name], busy[name] = g, &atomic.Bool{}
+			}
+			flag := busy[name]
+			if !flag.CompareAndSwap(false, true) {
+				continue
+			}
+			g.spec = spec
+			wg.Go(func() {
+				defer flag.Store(false)
+				if err := g.round(ctx); err != nil {
+					meter.Event("rank_round_errors")
+					l.Trail.Log("round_failed", "group", name, "epoch", g.epoch, "token", token, "error", err)
+				}
+			})
+		}
+	}
+}
+
+// held returns the token of the lease, zero if it is not held.
+func (l *Leader) held() (uint64, bool) {
+	if t := l.lease.Load(); t != nil {
+		return t.Held()
+	}
+	return 0, false
+}
+
+// contend runs the lease while this gate contends for it.
+func (l *Leader) contend(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !l.Contends() {
+			sleep(ctx, leaseRenew)
+			continue
+		}
+		lctx, cancel := context.WithCancel(ctx)
+		t := &lease.Lease{Store: l.Store, Name: leaseName, Holder: l.Holder, TTL: leaseTTL, Renew: leaseRenew}
+		l.lease.Store(t)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if err := t.Run(lctx); err != nil {
+				l.Trail.Log("lease_failed", "error", err)
+			}
+		}()
+		for ctx.Err() == nil && (l.Contends() || isHeld(t)) {
+			sleep(ctx, leaseRenew)
+		}
+		cancel()
+		<-done
+	}
+}
+
+func isHeld(t *lease.Lease) bool {
+	_, ok := t.Held()
+	return ok
+}
--- /dev/null
+++ b/gate/process/ranks/recover.go
@@ -0,0 +1,137 @@
+package ranks
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"parsleyroute.example/core"
+)
+
+// recoverLimit bounds one attempt to end a switch that a former leader began.
+// The next round goes on with it.
+const recoverLimit = 2 * time.Second
+
+// unfinished describes a switch that ranks report and that this leader has not
+// released itself.
+type unfinished struct {
+	armed         int
+	version, step uint64
+	held          []int
+}
+
+// unfinishedIn returns the unfinished switch among the reports, or nil.
+func (g *group) unfinishedIn(reports []core.RankReport) *unfinished {
+	var u unfinished
+	for i, r := range reports {
+		if r.Held {
+			u.held = append(u.held, i)
+			u.step = r.HeldStep
+		}
+	}
+	for _, r := range reports {
+		if r.Armed {
+			u.armed++
+			u.version, u.step = r.ArmedMap, r.ArmedStep
+		}
+	}
+	if u.armed == 0 && len(u.held) == 0 {
+		return nil
+	}
+	if len(u.held) == 0 && u.armed == len(reports) {
+		// The hold was released with all ranks armed; the group switches when
+		// the pass begins.
+		return nil
+	}
+	return &u
+}
+
+// finish completes an unfinished switch, or takes it back if it cannot be
+// completed.
+func (g *group) finish(ctx context.Context, u *unfinished) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recoverLimit)
+	defer cancel()
+	g.trail.Log("switch_found", "group", g.spec.Name, "epoch", g.epoch, "armed", u.armed, "map", u.version, "step", u.step, "held", len(u.held), "token", g.token)
+	complete := u.armed > 0
+	if complete {
+		err := g.armAll(ctx, u.version, u.step)
+		switch {
+		case err == nil:
+		case trace.IsCompareFailed(err) && g.impossible(ctx, u):
+			complete = false
+		default:
+			return trace.Wrap(err, "complete")
+		}
+	}
+	if !complete {
+		if err := g.takeBack(ctx); err != nil {
+			return trace.Wrap(err, "take back")
+		}
+	}
+	for _, rank := range u.held {
+		r, err := g.report(ctx, rank, false)
+		if err != nil {
+			return err
+		}
+		if !r.Held || r.Epoch != g.epoch {
+			continue
+		}
+		if err := g.confirm(ctx, rank, core.RankOrder{Verb: core.RankRelease, Step: r.HeldStep}); err != nil {
+			return trace.Wrap(err, "release")
+		}
+	}
+	g.trail.Log("switch_ended", "group", g.spec.Name, "epoch", g.epoch, "map", u.version, "step", u.step, "completed", complete)
+	// The map in use is read anew when the group has passed the step.
+	g.lists, g.pending = nil, nil
+	return nil
+}
+
+// impossible reports whether some rank is not armed and does not have the
+// version prepared, so that it can never be armed with it.
+func (g *group) impossible(ctx context.Context, u *unfinished) bool {
+	for i := range g.spec.Members {
+		r, err := g.report(ctx, i, false)
+		if err == nil && r.Epoch == g.epoch && !r.Armed && r.Prepared != u.version && r.Map != u.version {
+			return true
+		}
+	}
+	return false
+}
+
+// takeBack leaves every rank unarmed and without the version prepared that the
+// former leader would arm: it has each prepare the map in use under a new
+// version, which a rank refuses only while it is armed.
+func (g *group) takeBack(ctx context.Context) error {
+	if g.lists == nil {
+		if err := g.learn(ctx); err != nil {
+			return err
+		}
+	}
+	version := g.nextVersion()
+	return g.each(func(rank int) error {
+		for ctx.Err() == nil {
+			err := g.confirm(ctx, rank, core.RankOrder{Verb: core.RankPrepare, Map: version, Placement: g.lists})
+			if err == nil {
+				return nil
+			}
+			if !trace.IsCompareFailed(err) {
+				return err
+			}
+			r, rerr := g.report(ctx, rank, false)
+			switch {
+			case rerr != nil:
+			case r.Epoch != g.epoch:
+				return trace.CompareFailed("the group has formed anew")
+			case r.Prepared == version:
+				return nil
+			case r.Armed:
+				if err := g.confirm(ctx, rank, core.RankOrder{Verb: core.RankDisarm, Map: r.ArmedMap}); err != nil && !trace.IsCompareFailed(err) {
+					return err
+				}
+			}
+			sleep(ctx, orderPause)
+		}
+		return trace.ConnectionProblem(ctx.Err(), "rank %d did not give its promise back in time", rank)
+	})
+}
--- /dev/null
+++ b/gate/process/ranks/round.go
@@ -0,0 +1,149 @@
+package ranks
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/meter"
+	"parsleyroute.example/core/version/expert"
+)
+
+const (
+	// roundPeriod is the time between looks at the counts. What is in demand
+	// shifts within seconds.
+	roundPeriod = 400 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = 200 * time.Millisecond
+	// leastObserved is the time that the load must cover before a map is planned
+	// from it.
+	leastObserved = 700 * time.Millisecond
+	// leastSkew is the skew up to which a map is left as it is.
+	leastSkew = 1.12
+	// leastGain is the part by which passes must become shorter.
+	leastGain = 0.05
+	// moveCost is the least reduction of a set's greatest load, as a part of its
+	// mean load, for which an expert is copied.
+	moveCost = 0.004
+)
+
+// round looks at the group once and switches its map if that pays.
+func (g *group) round(ctx context.Context) error {
+	if !g.spec.complete() {
+		return nil
+	}
+	reports := make([]core.RankReport, len(g.spec.Members))
+	if err := g.each(func(i int) error {
+		var err error
+		reports[i], err = g.report(ctx, i, true)
+		return err
+	}); err != nil {
+		return trace.Wrap(err, "reports")
+	}
+	for i, r := range reports {
+		if r.Epoch != reports[0].Epoch || !r.Open || r.Rank != i {
+			// The group is forming.
+			return nil
+		}
+	}
+	if reports[0].Epoch != g.epoch {
+		g.reset(reports[0].Epoch)
+	}
+	now := time.Now()
+	g.observe(now, reports)
+	if u := g.unfinishedIn(reports); u != nil {
+		return g.finish(ctx, u)
+	}
+	if !g.settled(reports) {
+		return nil
+	}
+	if g.lists == nil || reports[0].Map != g.version {
+		if err := g.learn(ctx); err != nil {
+			return trace.Wrap(err, "learn")
+		}
+	}
+	return g.plan(ctx)
+}
+
+// settled reports whether all ranks use one map and none is about to switch.
+func (g *group) settled(reports []core.RankReport) bool {
+	for _, r := range reports {
+		if r.Armed || r.Map != reports[0].Map {
+			return false
+		}
+	}
+	if p := g.pending; p != nil {
+		if reports[0].Map != p.version {
+			return false
+		}
+		g.version, g.lists, g.pending = p.version, p.lists, nil
+		g.trail.Log("map_in_use", "group", g.spec.Name, "epoch", g.epoch, "map", p.version, "step", p.step)
+	}
+	return true
+}
+
+// learn reads the map in use from the ranks.
+func (g *group) learn(ctx context.Context) error {
+	e := &g.spec.Engine
+	lists := make(expert.Lists, e.Sets)
+	for s := range lists {
+		lists[s] = make([][]int, len(g.spec.Members))
+	}
+	versions := make([]uint64, len(g.spec.Members))
+	if err := g.each(func(i int) error {
+		rctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		version, sets, err := g.ranks.Placement(rctx, g.spec.Members[i])
+		if err != nil {
+			return err
+		}
+		if len(sets) != e.Sets {
+			return trace.BadParameter("rank %d has %d sets of experts, want %d", i, len(sets), e.Sets)
+		}
+		versions[i] = version
+		for s := range sets {
+			lists[s][i] = sets[s]
+		}
+		return nil
+	}); err != nil {
+		return err
+	}
+	for i, v := range versions {
+		if v != versions[0] {
+			return trace.CompareFailed("rank %d uses map %d, rank 0 map %d", i, v, versions[0])
+		}
+	}
+	g.version, g.lists = versions[0], lists
+	g.trail.Log("map_learned", "group", g.spec.Name, "epoch", g.epoch, "map", g.version)
+	return nil
+}
+
+// plan switches the map if the passes become shorter by enough.
+func (g *group) plan(ctx context.Context) error {
+	if g.load == nil || g.observed < leastObserved {
+		return nil
+	}
+	e := &g.spec.Engine
+	before := g.lists.Skew(g.load)
+	meter.Gauge("expert_skew_"+g.spec.Name, func() any { return before })
+	if before < leastSkew {
+		return nil
+	}
+	next := expert.Bounded{Places: e.Places, Spare: e.Spare, MoveCost: moveCost}.Place(g.lists, g.load)
+	if next == nil {
+		return nil
+	}
+	after := next.Skew(g.load)
+	if 1-passTime(e, after)/passTime(e, before) < leastGain {
+		return nil
+	}
+	return g.swap(ctx, next)
+}
+
+// passTime returns the time of a pass at a skew, as a multiple of that of a
+// balanced one.
+func passTime(e *core.EngineConfig, skew float64) float64 {
+	return 1 - e.ExpertShare + e.ExpertShare*skew
+}
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -13,12 +14,14 @@
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/conn/server"
+	"parsleyroute.example/core/process/beside"
 	"parsleyroute.example/core/process/start"
 	"parsleyroute.example/core/process/trail"
 	"parsleyroute.example/core/wire"
 	"parsleyroute.example/gate/conn/inlet"
 	"parsleyroute.example/gate/process/fleet"
 	"parsleyroute.example/gate/process/gossip"
+	"parsleyroute.example/gate/process/ranks"
 	"parsleyroute.example/gate/process/view"
 	"parsleyroute.example/gate/request/relay"
 	"parsleyroute.example/gate/version/route"
@@ -40,6 +43,9 @@
 	sweepPeriod = 500 * time.Millisecond
 	// registerWait bounds the attempts to register in the store at the start.
 	registerWait = 2 * time.Second
+	// contenders is the number of gates that contend for the lease of the
+	// leader, each of which calls the store about once a second.
+	contenders = 2
 	// connectionShare is the part of the descriptors that callers may use.
 	connectionShare = 2
 )
@@ -54,6 +60,7 @@
 	fleet    *fleet.Fleet
 	gossip   *gossip.Gossip
 	relay    *relay.Relay
+	leader   *ranks.Leader
 	callers  *inlet.Server
 	table    atomic.Pointer[route.Table]
 	synced   atomic.Bool
@@ -81,6 +88,7 @@
 	wg.Go(func() { g.view.Run(base) })
 	wg.Go(func() { g.control(base) })
 	wg.Go(func() { g.register(base) })
+	wg.Go(func() { g.leader.Run(base) })
 	wg.Go(func() {
 		if err := g.gossip.Run(base); err != nil {
 			g.Trail.Log("gossip_failed", "error", err)
@@ -125,6 +133,12 @@
 		Picker: &fleet.Picker{Fleet: g.fleet, Zone: s.Zone},
 		Bounds: relay.Bounds{RetryRatio: s.Retry.Ratio, RetryBurst: s.Retry.Burst, RetryWindow: s.Retry.Window.Or(10 * time.Second)},
 	}
+	g.leader = &ranks.Leader{
+		Ranks: &beside.Client{Port: s.Ranks, Direct: platform.NewWorkers(), HTTP: peerClient},
+		Store: g.store, Trail: g.Trail, Holder: fmt.Sprintf("%s/%x", s.Instance, g.gossip.Incarnation),
+		Contends: func() bool { return !g.draining.Load() && g.gossip.First(contenders) },
+	}
+	g.leader.Update(nil)
 	g.callers = &inlet.Server{
 		Listen: s.Callers, Handler: g.relay, Connections: s.Files / connectionShare,
 		Limits: func() core.CallerLimits {
@@ -175,6 +189,7 @@
 		}
 	}
 	g.fleet.Update(time.Now(), s.Upstreams, s.Out, s.Config)
+	g.leader.Update(ranks.Specs(s.Config, s.Upstreams))
 	if s.Synced && s.Config != nil && !g.synced.Swap(true) {
 		g.Trail.Log("ready", "config", s.Config.Version, "upstreams", len(s.Upstreams))
 	}
--- a/gate/serve/settings.go
+++ b/gate/serve/settings.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/netip"
-	"runtime"
-	"runtime/debug"
 
 	"github.com/gravitational/trace"
 
@@ -22,6 +20,9 @@
 	Peers   netip.AddrPort `toml:"peers"`
 	// Metrics is the address at which counters are served.
 	Metrics netip.AddrPort `toml:"metrics"`
+	// Ranks is the port of the processes beside the ranks of groups; zero if
+	// there are none.
+	Ranks uint16 `toml:"ranks"`
 	// Seeds are the addresses of gates to begin with; some may be gone.
 	Seeds []netip.AddrPort `toml:"seeds"`
 	// Store is the address of the platform's store.
@@ -77,20 +78,3 @@
 	}
 	return nil
 }
-
-const (
-	// procs is the number of processor threads that run Go code at once: gates
-	// run on a part of one core.
-	procs = 1
-	// memoryShare is the part of the memory, in tenths, that the heap may take
-	// before it is collected more often.
-	memoryShare = 7
-)
-
-// Limit applies the settings to the process.
-func (s *Settings) Limit() {
-	runtime.GOMAXPROCS(procs)
-	if s.Memory > 0 {
-		debug.SetMemoryLimit(int64(s.Memory) << 20 / 10 * memoryShare)
-	}
-}
--- /dev/null
+++ b/rank/main.go
@@ -0,0 +1,22 @@
+// Package main is the program rank, which runs beside a rank of a group and
+// passes the calls of the group's controller on to the engine.
+package main
+
+import (
+	"context"
+
+	"parsleyroute.example/core/process/start"
+	"parsleyroute.example/core/process/trail"
+	"parsleyroute.example/rank/serve"
+)
+
+func main() {
+	p := &start.Small[serve.Settings, *serve.Settings]{
+		Name: "rank", Short: "Pass a controller's calls on to the rank on this machine", Version: "0.2.0",
+		Identity: func(s serve.Settings) (string, int) { return s.Instance, s.Memory },
+		Run: func(ctx context.Context, s serve.Settings, t *trail.Trail) error {
+			return (&serve.Rank{Settings: s, Trail: t}).Run(ctx)
+		},
+	}
+	p.Main()
+}
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p .out/bin
-go build -o .out/bin/ ./entry ./agent ./parsley ./fakes ./bench ./gate
+go build -o .out/bin/ ./entry ./agent ./parsley ./fakes ./bench ./gate ./rank
--- a/scripts/modules.sh
+++ b/scripts/modules.sh
@@ -1,2 +1,2 @@
 # Sets MODULES to the package patterns of all modules of the workspace.
-MODULES="./core/... ./entry/... ./agent/... ./parsley/... ./fakes/... ./bench/... ./gate/... ./platform/..."
+MODULES="./core/... ./entry/... ./agent/... ./parsley/... ./fakes/... ./bench/... ./gate/... ./platform/... ./rank/..."
