Reload on SIGHUP; keep the retry burst back after a start

Change: SIGHUP and changes of the settings file are read, checked and logged; a budget has no burst in its first window.

--- a/core/process/beside/client.go
+++ b/core/process/beside/client.go
@@ -42,7 +42,7 @@
 		if err == nil {
 			return report(s), nil
 		}
-		if err, final := c.failed(ctx, rank, err); final {
+		if final, err := c.failed(ctx, rank, err); final {
 			return core.RankReport{}, err
 		}
 	}
@@ -56,7 +56,7 @@
 		if err == nil {
 			return s.GetPlacementMap(), experts(s.GetPlacement()), nil
 		}
-		if err, final := c.failed(ctx, rank, err); final {
+		if final, err := c.failed(ctx, rank, err); final {
 			return 0, nil, err
 		}
 	}
@@ -78,7 +78,7 @@
 	if err == nil {
 		return nil
 	}
-	err, _ = c.failed(ctx, rank, err)
+	_, err = c.failed(ctx, rank, err)
 	return err
 }
 
@@ -97,16 +97,16 @@
 // failed converts an error of the process beside the rank. final is set if the
 // answer is the engine's, and unset if the process could not be reached, so
 // that the engine itself can be asked.
-func (c *Client) failed(ctx context.Context, rank core.RankAddr, err error) (converted error, final bool) {
+func (c *Client) failed(ctx context.Context, rank core.RankAddr, err error) (final bool, converted error) {
 	var t twirp.Error
 	if errors.As(err, &t) {
 		for _, code := range codes {
 			if t.Code() == code.code {
-				return code.make("%s", t.Msg()), true
+				return true, code.make("%s", t.Msg())
 			}
 		}
 		if t.Code() == twirp.Aborted {
-			return trace.ConnectionProblem(err, "the engine did not answer"), true
+			return true, trace.ConnectionProblem(err, "the engine did not answer")
 		}
 	}
 	meter.Event("agent_unreachable")
@@ -118,7 +118,7 @@
 		c.absent[rank.Engine.Addr()] = time.Now().Add(absentTime)
 		c.mu.Unlock()
 	}
-	return trace.ConnectionProblem(err, "the process beside the rank did not answer"), false
+	return false, trace.ConnectionProblem(err, "the process beside the rank did not answer")
 }
 
 func report(s *wire.RankStatus) core.RankReport {
--- a/core/process/start/direct.go
+++ b/core/process/start/direct.go
@@ -1,10 +1,13 @@
 package start
 
 import (
+	"bytes"
 	"context"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -24,6 +27,9 @@
 	// heapTenths is the part of the memory, in tenths, that the heap may take
 	// before it is collected more often.
 	heapTenths = 7
+	// reloadPeriod is how often the settings file is compared with what was
+	// read, since it can change without a signal.
+	reloadPeriod = 5 * time.Second
 )
 
 // Checked is implemented by settings that can be checked.
@@ -42,8 +48,9 @@
 	// Identity returns the instance's name and its memory in MB, zero if it has
 	// no bound.
 	Identity func(S) (instance string, memory int)
-	// Run serves until ctx ends, then drains.
-	Run func(ctx context.Context, settings S, t *trail.Trail) error
+	// Run serves until ctx ends, then drains. Each settings file that is read
+	// anew and passes its check arrives on reloads.
+	Run func(ctx context.Context, settings S, reloads <-chan S, t *trail.Trail) error
 }
 
 // Main runs the program with the process's command line and ends the process.
@@ -75,7 +82,7 @@
 			if err := P(&s).Check(); err != nil || checkOnly {
 				return err
 			}
-			return p.run(cmd.Context(), s)
+			return p.run(cmd.Context(), path, s)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", p.Name+".toml", "settings file")
@@ -83,7 +90,7 @@
 	return cmd
 }
 
-func (p *Small[S, P]) run(ctx context.Context, s S) error {
+func (p *Small[S, P]) run(ctx context.Context, path string, s S) error {
 	instance, memory := p.Identity(s)
 	runtime.GOMAXPROCS(smallProcs)
 	if memory > 0 {
@@ -91,5 +98,52 @@
 	}
 	t := trail.New(os.Stdout, p.Name, instance)
 	defer t.Close(flushTime)
-	return p.Run(ctx, s, t)
+	reloads := make(chan S, 1)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go p.reload(ctx, path, hup, reloads, t)
+	return p.Run(ctx, s, reloads, t)
+}
+
+// reload reads the settings file anew at each SIGHUP and whenever its content
+// has changed. Settings that fail their check change nothing.
+func (p *Small[S, P]) reload(ctx context.Context, path string, hup <-chan os.Signal, reloads chan S, t *trail.Trail) {
+	last, _ := os.ReadFile(path)
+	tick := time.NewTicker(reloadPeriod)
+	defer tick.Stop()
+	for {
+		cause := "signal"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-tick.C:
+			cause = "change"
+		}
+		data, err := os.ReadFile(path)
+		if err == nil && bytes.Equal(data, last) {
+			if cause == "signal" {
+				t.Log("reload", "cause", cause, "changed", false)
+			}
+			continue
+		}
+		var s S
+		if err == nil {
+			err = conf.Decode(path, data, &s)
+		}
+		if err == nil {
+			err = P(&s).Check()
+		}
+		if err != nil {
+			t.Log("reload_failed", "cause", cause, "error", err)
+			continue
+		}
+		last = data
+		t.Log("reload", "cause", cause, "changed", true)
+		select {
+		case <-reloads:
+		default:
+		}
+		reloads <- s
+	}
 }
--- a/gate/process/ranks/group.go
+++ b/gate/process/ranks/group.go
@@ -119,7 +119,7 @@
 		sum[s] = make([]float64, e.Experts)
 	}
 	var span time.Duration
-	any := false
+	grown := false
 	for i, r := range reports {
 		last, ok := g.seen[i]
 		if len(r.Counts) != e.Sets*e.Experts {
@@ -133,11 +133,11 @@
 		for j, n := range r.Counts {
 			if n > last.counts[j] {
 				sum[j/e.Experts][j%e.Experts] += float64(n - last.counts[j])
-				any = true
+				grown = true
 			}
 		}
 	}
-	if any {
+	if grown {
 		g.load = g.decay.Add(sum, span)
 		g.observed += span
 	}
--- a/gate/request/relay/budget.go
+++ b/gate/request/relay/budget.go
@@ -27,8 +27,8 @@
 // has is counted, so that every span of the window's length is covered.
 const buckets = 11
 
-// reserve is the part of the burst that is used, since a gate that has just
-// started does not know what its predecessor sent.
+// reserve is the part of the burst that is used, because the number of gates
+// is known with a delay.
 const reserve = 0.8
 
 // advance drops the counts that have left the window.
@@ -61,7 +61,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.advance(now)
-	if float64(sum(b.repeats)+1) > b.Ratio*float64(sum(b.firsts))+reserve*b.Burst/float64(gates) {
+	burst := reserve * b.Burst / float64(gates)
+	if now.Sub(epoch) < b.Window {
+		// A gate that has just started does not know what its predecessor has
+		// sent in the same window.
+		burst = 0
+	}
+	if float64(sum(b.repeats)+1) > b.Ratio*float64(sum(b.firsts))+burst {
 		return false
 	}
 	b.repeats[i]++
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -53,7 +53,10 @@
 // Gate is one gate process. Exported fields are set before Run.
 type Gate struct {
 	Settings Settings
-	Trail    *trail.Trail
+	// Reloads brings settings that were read anew. Of these, the seeds take
+	// effect; the others need a new process.
+	Reloads <-chan Settings
+	Trail   *trail.Trail
 
 	store    *platform.Store
 	view     *view.View
@@ -170,6 +173,8 @@
 			return
 		case s := <-g.states:
 			g.apply(s)
+		case s := <-g.Reloads:
+			g.gossip.Add(s.Seeds...)
 		case now := <-tick.C:
 			g.fleet.SetGates(g.gossip.Gates())
 			g.fleet.Beat(g.gossip.Remote())
