Switch expert maps at the next pass

Change: the hold is placed at the next pass; later only as far as the last switch's orders took longer than a pass.

--- a/gate/process/ranks/group.go
+++ b/gate/process/ranks/group.go
@@ -3,10 +3,10 @@
 import (
 	"cmp"
 	"slices"
-	"sync"
 	"time"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/core/process/trail"
 	"parsleyroute.example/core/version/expert"
 )
@@ -73,11 +73,14 @@
 
 	seen  map[int]observation
 	decay expert.Decay
-	// margin is the number of passes between the hold and now; marginMu guards
-	// it.
-	marginMu sync.Mutex
-	margin   uint64
-	load     core.ExpertLoad
+	// armTime is how long the ranks took to be armed in the last switch, and
+	// passTime the recent time of a pass, zero if unknown.
+	armTime  time.Duration
+	passTime time.Duration
+	// step is the last pass seen, at stepAt.
+	step   uint64
+	stepAt time.Time
+	load   core.ExpertLoad
 	// observed is how much time the load covers.
 	observed time.Duration
 }
@@ -99,6 +102,7 @@
 	g.trail.Log("group_formed", "group", g.spec.Name, "epoch", epoch, "former", g.epoch)
 	g.epoch, g.version, g.lists, g.pending = epoch, 0, nil, nil
 	g.seen = map[int]observation{}
+	g.step, g.stepAt, g.passTime = 0, time.Time{}, 0
 }
 
 // nextVersion returns a map version that no leader has used before.
@@ -111,6 +115,15 @@
 // below the integers that JSON numbers hold exactly.
 const versionsPerToken = 100000
 
+// observeStep measures the time of a pass.
+func (g *group) observeStep(now time.Time, step uint64) {
+	if n := step - g.step; !g.stepAt.IsZero() && step > g.step {
+		g.passTime = now.Sub(g.stepAt) / time.Duration(n)
+		meter.Observe("pass", g.passTime)
+	}
+	g.step, g.stepAt = step, now
+}
+
 // observe adds the counts of the reports to the load.
 func (g *group) observe(now time.Time, reports []core.RankReport) {
 	e := &g.spec.Engine
--- a/gate/process/ranks/round.go
+++ b/gate/process/ranks/round.go
@@ -53,6 +53,7 @@
 	}
 	now := time.Now()
 	g.observe(now, reports)
+	g.observeStep(now, reports[0].Step)
 	if u := g.unfinishedIn(reports); u != nil {
 		return g.finish(ctx, u)
 	}
@@ -79,7 +80,7 @@
 			return false
 		}
 		g.version, g.lists, g.pending = p.version, p.lists, nil
-		g.trail.Log("map_in_use", "group", g.spec.Name, "epoch", g.epoch, "map", p.version, "step", p.step)
+		g.trail.Log("map_in_use", "group", g.spec.Name, "epoch", g.epoch, "map", p.version, "step", p.step, "pass", g.passTime)
 	}
 	return true
 }
--- a/gate/process/ranks/swap.go
+++ b/gate/process/ranks/swap.go
@@ -22,11 +22,9 @@
 	prepareMargin = 2500 * time.Millisecond
 	// pollPeriod is the time between looks at the ranks' copies.
 	pollPeriod = 50 * time.Millisecond
-	// leastMargin and mostMargin are the passes between now and the pass at which
-	// the group switches: enough for the orders to be confirmed before the group
-	// waits for them. Lost orders raise it.
-	leastMargin = 3
-	mostMargin  = 12
+	// mostMargin bounds the passes between now and the one at which the group
+	// switches.
+	mostMargin = 12
 	// holdTries bounds the attempts to find a pass that has not begun.
 	holdTries = 6
 	// prepareTries bounds the orders to prepare to a rank that does not answer.
@@ -58,6 +56,7 @@
 	if err := g.armAll(ctx, version, step); err != nil {
 		return trace.Wrap(err, "arm")
 	}
+	g.armTime = time.Since(held)
 	if err := g.release(ctx, step); err != nil {
 		return trace.Wrap(err, "release")
 	}
@@ -144,10 +143,15 @@
 // holder is the rank that holds the group.
 const holder = 0
 
-// hold keeps the group from beginning a pass and returns which. If the pass has
-// begun it tries a later one.
+// hold keeps the group from beginning a pass and returns which. It is the next
+// one, or a later one if the orders to arm are expected to take longer than a
+// pass, since the group waits for them. If the pass has begun it tries a later
+// one.
 func (g *group) hold(ctx context.Context) (uint64, error) {
-	margin := max(g.margin, leastMargin)
+	margin := uint64(1)
+	if g.passTime > 0 {
+		margin = min(margin+uint64(g.armTime/g.passTime), mostMargin)
+	}
 	for range holdTries {
 		r, err := g.report(ctx, holder, false)
 		if err != nil {
@@ -164,7 +168,7 @@
 		if !trace.IsCompareFailed(err) {
 			return 0, err
 		}
-		margin = min(2*margin, 4*mostMargin)
+		margin++
 	}
 	return 0, trace.CompareFailed("no pass could be held in %d tries", holdTries)
 }
@@ -172,14 +176,11 @@
 // confirm repeats an order until the rank answers. It gives up only if the
 // group has formed anew.
 func (g *group) confirm(ctx context.Context, rank int, o core.RankOrder) error {
-	lost := 0
-	defer func() { g.lost(lost) }()
 	for {
 		err := g.order(ctx, rank, o)
 		if err == nil || !trace.IsConnectionProblem(err) {
 			return err
 		}
-		lost++
 		if g.reformed(ctx, rank) {
 			return trace.CompareFailed("the group has formed anew")
 		}
@@ -187,15 +188,6 @@
 	}
 }
 
-// lost adapts the margin to the orders that were lost.
-func (g *group) lost(n int) {
-	g.marginMu.Lock()
-	defer g.marginMu.Unlock()
-	if n > 0 {
-		g.margin = mostMargin
-	}
-}
-
 // reformed reports whether the group is of another epoch or has ended, as far
 // as any of its ranks tells.
 func (g *group) reformed(ctx context.Context, rank int) bool {
