Hold requests for streams while their group is down, and ask whether it is open

Change: a refusal that names another rank marks the group down; requests for streams wait up to the caller's patience; the gate asks a member of the group every 120 ms. After 421 an upstream gets no more work.

--- a/gate/process/fleet/fleet.go
+++ b/gate/process/fleet/fleet.go
@@ -32,7 +32,8 @@
 
 	snapshot atomic.Pointer[Snapshot]
 	// gates is the number of gates that may be sending.
-	gates atomic.Int64
+	gates  atomic.Int64
+	groups groups
 
 	// The fields below belong to the control goroutine.
 
@@ -82,6 +83,7 @@
 	for id, p := range peers {
 		f.updatePeer(now, id, p)
 	}
+	f.listGroups(now, peers)
 	f.publish()
 }
 
--- a/gate/process/fleet/pick.go
+++ b/gate/process/fleet/pick.go
@@ -66,7 +66,7 @@
 	start := rand.IntN(max(1, len(list)))
 	for i := range list {
 		u := list[(start+i)%len(list)]
-		if slices.Contains(tried, u) || u.paused(now) || u.Load() >= limit(pool, u) {
+		if slices.Contains(tried, u) || u.paused(now) || u.Load() >= limit(pool, u) || p.Fleet.isDown(u) {
 			continue
 		}
 		score := (float64(u.Load()) + 1) * (1 + failureWeight*u.FailureRate(now))
@@ -109,7 +109,7 @@
 func (p *Picker) State(now time.Time, pool *core.PoolConfig) State {
 	state := Down
 	for _, u := range p.Fleet.Snapshot().Pools[pool.Name] {
-		if u.paused(now) {
+		if u.paused(now) || p.Fleet.isDown(u) {
 			continue
 		}
 		if u.Load() < limit(pool, u) {
--- a/gate/process/fleet/upstream.go
+++ b/gate/process/fleet/upstream.go
@@ -62,6 +62,8 @@
 	own    atomic.Int64
 	remote atomic.Int64
 
+	// gone is set once another upstream has answered at the address.
+	gone atomic.Bool
 	// until is when the upstream may get work again after lost connections, as
 	// the time since started, which steps of the clock do not change.
 	until atomic.Int64
@@ -93,6 +95,10 @@
 // Own returns the number of this gate's requests at the upstream.
 func (u *Upstream) Own() int { return int(u.own.Load()) }
 
+// SetGone takes note that another upstream has answered at the address, so that
+// this one gets no more work.
+func (u *Upstream) SetGone() { u.gone.Store(true) }
+
 // Begin counts a request that is about to be sent.
 func (u *Upstream) Begin() { u.own.Add(1) }
 
@@ -143,8 +149,11 @@
 	return u.failures / (u.total + priorOutcomes)
 }
 
-// paused reports whether the upstream gets no work after lost connections.
-func (u *Upstream) paused(now time.Time) bool { return int64(now.Sub(started)) < u.until.Load() }
+// paused reports whether the upstream gets no work: it is gone, or connections
+// to it were lost lately.
+func (u *Upstream) paused(now time.Time) bool {
+	return u.gone.Load() || int64(now.Sub(started)) < u.until.Load()
+}
 
 // setCold extends the time in which the upstream counts as cold.
 func (u *Upstream) setCold(until time.Time) {
--- a/gate/request/relay/attempt.go
+++ b/gate/request/relay/attempt.go
@@ -245,8 +245,12 @@
 	a := &answer{status: status, lines: t.returned(h), body: data}
 	switch {
 	case info.NotRun:
-		if info.Culprit != "" {
+		switch {
+		case status == fasthttp.StatusMisdirectedRequest:
+			u.SetGone()
+		case info.Culprit != "":
 			t.log("group_stalled", "upstream", u.ID, "culprit", info.Culprit)
+			t.r.Picker.Fleet.GroupDown(time.Now(), u, info.Culprit)
 		}
 		return result{verdict: verdictNotRun, outcome: fleet.Neutral, err: trace.LimitExceeded("the upstream did not run the request: status %d", status)}
 	case status/100 == 2 && !t.genuine(h, info):
--- a/gate/request/relay/budget.go
+++ b/gate/request/relay/budget.go
@@ -74,6 +74,15 @@
 	return true
 }
 
+// Return gives back what Take took, for a send that was not made.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i := b.at % buckets; b.repeats[i] > 0 {
+		b.repeats[i]--
+	}
+}
+
 func sum(v [buckets]int) int {
 	n := 0
 	for _, x := range v {
--- a/gate/request/relay/trip.go
+++ b/gate/request/relay/trip.go
@@ -29,9 +29,17 @@
 	fullRetry = 600 * time.Millisecond
 	// retryPart is the part of the time left that callers wait at most.
 	retryPart = 3
-	// downHold is the part of the objective for which a request waits for a
-	// pool that has no upstream.
+	// downHold is the part of the objective for which a request other than for
+	// a stream waits for a pool that has no upstream.
 	downHold = 8
+	// leastPatience, objectivePatience and pausePatience give the time for which
+	// callers wait for a stream's next event: the longest of leastPatience and
+	// these multiples of the objective and of the longest pause on time.
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4
+	pausePatience     = 8
+	// patienceMargin is how long before that a request is answered.
+	patienceMargin = 200 * time.Millisecond
 	// maxUnsent bounds the upstreams that are tried without sending anything.
 	maxUnsent = 4
 	// answerMargin is the time kept to write a last answer before the deadline.
@@ -60,6 +68,8 @@
 	// mayHaveRun is set once an upstream may have begun the work.
 	mayHaveRun bool
 	waited     time.Duration
+	// paid is set while the budget has paid for a send that was not made yet.
+	paid bool
 
 	stream streamState
 	// last is an upstream's own error answer, passed on if no retry does better.
@@ -112,11 +122,15 @@
 		item.Team = t.team.Name
 	}
 	err := t.state.queue.Wait(ctx, item)
+	t.waited += time.Since(now)
+	paid := t.paid
+	t.paid = false
 	if err == nil {
-		t.waited += time.Since(now)
 		return u
 	}
-	t.waited += time.Since(now)
+	if paid {
+		t.state.budget.Return()
+	}
 	t.unplaced(ctx, err)
 	return nil
 }
@@ -130,16 +144,29 @@
 
 // hold returns until when the request waits for a place.
 func (t *trip) hold(now time.Time) time.Time {
-	wait := t.route.Objective
+	at := now.Add(t.route.Objective)
 	if t.r.Picker.State(now, t.pool) == fleet.Down {
-		wait /= downHold
+		at = now.Add(t.route.Objective / downHold)
+		if t.route.Kind == core.RouteStream {
+			// A group of ranks that has lost one is back after seconds.
+			at = t.patience()
+		}
 	}
-	if at := now.Add(wait); at.Before(t.deadline) {
+	if at.Before(t.deadline) {
 		return at
 	}
 	return t.deadline
 }
 
+// patience returns when the caller of a stream leaves unless an event comes.
+func (t *trip) patience() time.Time {
+	from := t.start
+	if !t.stream.at.IsZero() {
+		from = t.stream.at
+	}
+	return from.Add(max(leastPatience, objectivePatience*t.route.Objective, pausePatience*t.route.Pause) - patienceMargin)
+}
+
 // unplaced writes the last answer of a request that got no upstream.
 func (t *trip) unplaced(ctx context.Context, err error) {
 	if t.x.Context().Err() != nil {
@@ -184,6 +211,7 @@
 		}
 	case v == verdictNotRun || t.repeatable():
 		if t.sends < t.route.Attempts && t.state.budget.Take(now, t.r.Picker.Fleet.Gates()) {
+			t.paid = true
 			meter.Retry(cause)
 			t.log("retry", "cause", string(cause), "sends", t.sends, "tried", len(t.tried))
 			return true
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -41,6 +41,10 @@
 	controlPeriod = 50 * time.Millisecond
 	// sweepPeriod is the time between looks for idle connections.
 	sweepPeriod = 500 * time.Millisecond
+	// groupPeriod is the time between questions to a group that is down, and
+	// groupTimeout bounds one.
+	groupPeriod  = 120 * time.Millisecond
+	groupTimeout = 100 * time.Millisecond
 	// registerWait bounds the attempts to register in the store at the start.
 	registerWait = 2 * time.Second
 	// contenders is the number of gates that contend for the lease of the
@@ -64,6 +68,7 @@
 	gossip   *gossip.Gossip
 	relay    *relay.Relay
 	leader   *ranks.Leader
+	ranks    core.Ranks
 	callers  *inlet.Server
 	table    atomic.Pointer[route.Table]
 	synced   atomic.Bool
@@ -92,6 +97,7 @@
 	wg.Go(func() { g.control(base) })
 	wg.Go(func() { g.register(base) })
 	wg.Go(func() { g.leader.Run(base) })
+	wg.Go(func() { g.watchGroups(base) })
 	wg.Go(func() {
 		if err := g.gossip.Run(base); err != nil {
 			g.Trail.Log("gossip_failed", "error", err)
@@ -136,8 +142,9 @@
 		Picker: &fleet.Picker{Fleet: g.fleet, Zone: s.Zone},
 		Bounds: relay.Bounds{RetryRatio: s.Retry.Ratio, RetryBurst: s.Retry.Burst, RetryWindow: s.Retry.Window.Or(10 * time.Second)},
 	}
+	g.ranks = &beside.Client{Port: s.Ranks, Direct: platform.NewWorkers(), HTTP: peerClient}
 	g.leader = &ranks.Leader{
-		Ranks: &beside.Client{Port: s.Ranks, Direct: platform.NewWorkers(), HTTP: peerClient},
+		Ranks: g.ranks,
 		Store: g.store, Trail: g.Trail, Holder: fmt.Sprintf("%s/%x", s.Instance, g.gossip.Incarnation),
 		Contends: func() bool { return !g.draining.Load() && g.gossip.First(contenders) },
 	}
@@ -200,6 +207,29 @@
 	}
 }
 
+// watchGroups asks a member of each group that is down whether the group runs
+// again, since the store tells of it up to a heartbeat later.
+func (g *Gate) watchGroups(ctx context.Context) {
+	tick := time.NewTicker(groupPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for name, u := range g.fleet.DownGroups() {
+			rctx, cancel := context.WithTimeout(ctx, groupTimeout)
+			r, err := g.ranks.Report(rctx, core.RankAddr{Instance: u.ID, Engine: u.Conn.Addr}, false)
+			cancel()
+			if err == nil && r.Open && r.Group == name {
+				g.fleet.GroupOpen(time.Now(), name, r.Epoch, u.ID)
+				g.relay.Tick()
+			}
+		}
+	}
+}
+
 // register writes this gate's address into the store and learns those of the
 // others, for gates whose seeds are gone.
 func (g *Gate) register(ctx context.Context) {
