Plan maps each 200 ms and copy few experts at once

Change: rounds of 200 ms; expert.Bounded spends at most 3 new experts a rank over all sets, on the set with the greatest excess first; a second map follows.

--- a/core/version/expert/bounded.go
+++ b/core/version/expert/bounded.go
@@ -95,25 +95,40 @@
 	// load, that pays for one new expert on one rank; zero means that moves are
 	// free.
 	MoveCost float64
+	// RankSpare is the greatest number of experts of all sets that may be new to
+	// a rank, which bounds the time of the copy; zero means no bound.
+	RankSpare int
 	// Target is the skew at which the search ends; zero means 1.03.
 	Target float64
 }
 
 // Place returns better lists, or nil if there are none. It returns nil for a
-// load of another shape.
+// load of another shape. Changes are made in the set with the greatest excess
+// first, so that RankSpare is spent where it helps most.
 func (p Bounded) Place(current Lists, load core.ExpertLoad) Lists {
 	if len(load) != len(current) {
 		return nil
 	}
 	next := current.Clone()
-	changed := false
+	fresh := make([]int, len(current[0]))
+	sets := make([]*placing, 0, len(current))
 	for s := range current {
-		if total(load[s]) <= 0 {
-			continue
+		if total(load[s]) > 0 {
+			sets = append(sets, newPlacing(next[s], load[s], fresh))
+		}
+	}
+	changed := false
+	for range 4 * len(current) * len(fresh) {
+		s := p.worst(sets)
+		if s == nil {
+			break
 		}
-		if p.improve(next[s], load[s]) {
+		if e, ok := s.best(p); ok && e.score > p.MoveCost {
+			s.apply(e)
 			changed = true
+			continue
 		}
+		s.done = true
 	}
 	if !changed {
 		return nil
@@ -121,6 +136,26 @@
 	return next
 }
 
+// worst returns the set with the greatest skew that can still be improved.
+func (p Bounded) worst(sets []*placing) *placing {
+	target := p.Target
+	if target == 0 {
+		target = 1.03
+	}
+	var worst *placing
+	for _, s := range sets {
+		if s.done || s.loads[s.hot] <= target*s.mean {
+			continue
+		}
+		// The sets of a step have the same number of tokens, so the greatest
+		// loads compare.
+		if worst == nil || s.loads[s.hot]/s.mean > worst.loads[worst.hot]/worst.mean {
+			worst = s
+		}
+	}
+	return worst
+}
+
 // placing is one set under search.
 type placing struct {
 	load  []float64
@@ -129,24 +164,15 @@
 	n     []int // replicas of each expert
 	loads []float64
 	mean  float64
+	hot   int // the most loaded rank
+	// fresh counts the experts of all sets that are new to each rank.
+	fresh []int
+	// done is set once no edit helps.
+	done bool
 }
 
-// edit adds expert add to rank at, in the place of evict unless that is
-// negative. With moved, the expert leaves the most loaded rank, which takes
-// evict in exchange.
-type edit struct {
-	at, add, evict int
-	moved          bool
-	score          float64
-}
-
-// improve changes the ranks' lists and reports whether it did.
-func (p Bounded) improve(ranks [][]int, load []float64) bool {
-	target := p.Target
-	if target == 0 {
-		target = 1.03
-	}
-	s := &placing{load: load, ranks: ranks, start: make([][]int, len(ranks)), n: make([]int, len(load))}
+func newPlacing(ranks [][]int, load []float64, fresh []int) *placing {
+	s := &placing{load: load, ranks: ranks, start: make([][]int, len(ranks)), n: make([]int, len(load)), fresh: fresh}
 	for r := range ranks {
 		s.start[r] = slices.Clone(ranks[r])
 		for _, e := range ranks[r] {
@@ -154,29 +180,31 @@
 		}
 	}
 	s.mean = total(load) / float64(len(ranks))
-	changed := false
-	for range 4 * len(ranks) {
-		s.loads = listLoads(ranks, load)
-		hot := slices.Index(s.loads, slices.Max(s.loads))
-		if s.loads[hot] <= target*s.mean {
-			break
-		}
-		best, ok := s.best(p, hot)
-		if !ok || best.score <= p.MoveCost {
-			break
-		}
-		s.apply(best, hot)
-		changed = true
-	}
-	return changed
+	s.update()
+	return s
+}
+
+func (s *placing) update() {
+	s.loads = listLoads(s.ranks, s.load)
+	s.hot = slices.Index(s.loads, slices.Max(s.loads))
+}
+
+// edit adds expert add to rank at, in the place of evict unless that is
+// negative. With moved, the expert leaves the most loaded rank, which takes
+// evict in exchange.
+type edit struct {
+	at, add, evict int
+	moved          bool
+	score          float64
 }
 
 // best returns the edit at the hot rank with the greatest reduction of the
 // potential for each new expert.
-func (s *placing) best(p Bounded, hot int) (edit, bool) {
+func (s *placing) best(p Bounded) (edit, bool) {
 	best, found := edit{score: math.Inf(-1)}, false
+	hot := s.hot
 	consider := func(e edit) {
-		if v, ok := s.judge(p, e, hot); ok && v > best.score {
+		if v, ok := s.judge(p, e); ok && v > best.score {
 			e.score = v
 			best, found = e, true
 		}
@@ -205,18 +233,19 @@
 
 // judge returns the reduction of the potential by an edit for each new expert,
 // as a part of the mean load, and whether the edit is allowed.
-func (s *placing) judge(p Bounded, e edit, hot int) (float64, bool) {
-	touched := s.trial(e, hot)
+func (s *placing) judge(p Bounded, e edit) (float64, bool) {
+	touched := s.trial(e)
 	fresh := 0
 	for _, t := range touched {
-		n := s.fresh(t.rank, t.list)
-		if n > p.Spare {
+		n := s.newIn(t.rank, t.list)
+		more := n - s.newIn(t.rank, s.ranks[t.rank])
+		if n > p.Spare || p.RankSpare > 0 && more > 0 && s.fresh[t.rank]+more > p.RankSpare {
 			return 0, false
 		}
-		fresh += n - s.fresh(t.rank, s.ranks[t.rank])
+		fresh += more
 	}
 	before, after := 0.0, 0.0
-	loads := s.loadsWith(e, hot)
+	loads := s.loadsWith(e)
 	for r := range loads {
 		before += eighth(s.loads[r] / s.mean)
 		after += eighth(loads[r] / s.mean)
@@ -232,12 +261,12 @@
 }
 
 // trial returns the lists of the ranks that an edit changes.
-func (s *placing) trial(e edit, hot int) []trialList {
+func (s *placing) trial(e edit) []trialList {
 	at := replaceIn(s.ranks[e.at], e.evict, e.add)
 	if !e.moved {
 		return []trialList{{e.at, at}}
 	}
-	return []trialList{{e.at, at}, {hot, replaceIn(s.ranks[hot], e.add, e.evict)}}
+	return []trialList{{e.at, at}, {s.hot, replaceIn(s.ranks[s.hot], e.add, e.evict)}}
 }
 
 // replaceIn returns the list without out and with in; negative ones are left
@@ -255,9 +284,9 @@
 	return c
 }
 
-// fresh returns the number of experts in the list that the rank did not have at
+// newIn returns the number of experts in the list that the rank did not have at
 // the start.
-func (s *placing) fresh(rank int, list []int) int {
+func (s *placing) newIn(rank int, list []int) int {
 	n := 0
 	for _, e := range list {
 		if !slices.Contains(s.start[rank], e) {
@@ -268,8 +297,8 @@
 }
 
 // loadsWith returns the rank loads after an edit.
-func (s *placing) loadsWith(e edit, hot int) []float64 {
-	loads := slices.Clone(s.loads)
+func (s *placing) loadsWith(e edit) []float64 {
+	loads, hot := slices.Clone(s.loads), s.hot
 	if e.moved {
 		size := s.load[e.add] / float64(s.n[e.add])
 		loads[hot] -= size
@@ -301,8 +330,9 @@
 	}
 }
 
-func (s *placing) apply(e edit, hot int) {
-	for _, t := range s.trial(e, hot) {
+func (s *placing) apply(e edit) {
+	for _, t := range s.trial(e) {
+		s.fresh[t.rank] += s.newIn(t.rank, t.list) - s.newIn(t.rank, s.ranks[t.rank])
 		s.ranks[t.rank] = t.list
 	}
 	if !e.moved {
@@ -311,6 +341,7 @@
 			s.n[e.evict]--
 		}
 	}
+	s.update()
 }
 
 func eighth(x float64) float64 {
--- a/gate/process/ranks/round.go
+++ b/gate/process/ranks/round.go
@@ -14,12 +14,12 @@
 const (
 	// roundPeriod is the time between looks at the counts. What is in demand
 	// shifts within seconds.
-	roundPeriod = 400 * time.Millisecond
+	roundPeriod = 200 * time.Millisecond
 	// reportTimeout bounds one report.
 	reportTimeout = 200 * time.Millisecond
 	// leastObserved is the time that the load must cover before a map is planned
 	// from it.
-	leastObserved = 700 * time.Millisecond
+	leastObserved = 350 * time.Millisecond
 	// leastSkew is the skew up to which a map is left as it is.
 	leastSkew = 1.12
 	// leastGain is the part by which passes must become shorter.
@@ -27,6 +27,9 @@
 	// moveCost is the least reduction of a set's greatest load, as a part of its
 	// mean load, for which an expert is copied.
 	moveCost = 0.004
+	// rankSpare bounds the experts that one rank copies for a map, each of which
+	// takes a tenth of a second: a second map can follow.
+	rankSpare = 3
 )
 
 // round looks at the group once and switches its map if that pays.
@@ -132,7 +135,7 @@
 	if before < leastSkew {
 		return nil
 	}
-	next := expert.Bounded{Places: e.Places, Spare: e.Spare, MoveCost: moveCost}.Place(g.lists, g.load)
+	next := expert.Bounded{Places: e.Places, Spare: e.Spare, RankSpare: rankSpare, MoveCost: moveCost}.Place(g.lists, g.load)
 	if next == nil {
 		return nil
 	}
