End a hold that a frozen leader has left, and keep the retry budget

A promise is taken back only after one rank can no longer be armed. The budget counts requests over 0.9 windows. Idle connections end by a read deadline.

--- a/core/process/beside/client.go
+++ b/core/process/beside/client.go
@@ -110,7 +110,9 @@
 		}
 	}
 	meter.Event("agent_unreachable")
-	if ctx.Err() == nil {
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		// A process that does not answer in time may be frozen, while the engine
+		// goes on.
 		c.mu.Lock()
 		if c.absent == nil {
 			c.absent = map[netip.Addr]time.Time{}
--- a/core/process/lease/lease.go
+++ b/core/process/lease/lease.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"sync/atomic"
@@ -50,6 +51,8 @@
 	Logger log.Logger
 
 	term atomic.Pointer[term]
+	// seen is the token of the last term that was read, of any holder.
+	seen atomic.Uint64
 
 	// The fields below belong to the goroutine of Run.
 
@@ -80,6 +83,10 @@
 	return t.token, true
 }
 
+// Seen returns the token of the last term that this process has read of or
+// held, zero if there is none.
+func (l *Lease) Seen() uint64 { return l.seen.Load() }
+
 // Run acquires and renews the lease until ctx ends, then releases it. It may
 // be called once. It returns trace.BadParameter if a field is missing.
 func (l *Lease) Run(ctx context.Context) error {
@@ -216,6 +223,7 @@
 	default:
 		if obj.Version != l.other.Version {
 			l.other, l.since = obj, l.Clock.Now()
+			l.see(obj)
 		}
 		l.drop("another process has it")
 	}
@@ -237,9 +245,20 @@
 		meter.Event("lease_acquired")
 		level.Info(l.Logger).Log("msg", "acquired lease", "lease", l.Name, "token", next.token)
 	}
+	l.seen.Store(max(l.seen.Load(), next.token))
 	l.term.Store(next)
 }
 
+// see takes note of the token in another process's object. The first write of
+// a term has none, and its version is the token.
+func (l *Lease) see(obj core.Object) {
+	var v wire.Lease
+	if proto.Unmarshal(obj.Value, &v) != nil {
+		return
+	}
+	l.seen.Store(max(l.seen.Load(), cmp.Or(v.GetToken(), obj.Version)))
+}
+
 // drop ends the term, if there is one.
 func (l *Lease) drop(why string) {
 	if t := l.term.Swap(nil); t != nil {
--- a/gate/conn/inlet/server.go
+++ b/gate/conn/inlet/server.go
@@ -61,11 +61,13 @@
 	// Connections bounds the open connections; zero means no bound.
 	Connections int
 
-	ln      net.Listener
-	conns   sync.Map // of *conn
-	open    atomic.Int64
-	active  atomic.Int64
+	ln     net.Listener
+	conns  sync.Map // of *conn
+	open   atomic.Int64
+	active atomic.Int64
+	// drained has each answer end its connection; closed ends idle ones.
 	drained atomic.Bool
+	closed  atomic.Bool
 	wg      sync.WaitGroup
 }
 
@@ -94,9 +96,10 @@
 // requests in flight until ctx ends. It then ends the rest.
 func (s *Server) Close(ctx context.Context) error {
 	s.drained.Store(true)
+	s.closed.Store(true)
 	_ = s.ln.Close()
 	s.conns.Range(func(k, _ any) bool {
-		k.(*conn).closeIdle()
+		k.(*conn).endIdle()
 		return true
 	})
 	done := make(chan struct{})
@@ -170,19 +173,32 @@
 	idle bool
 }
 
-// closeIdle ends the connection if no request is under way.
-func (k *conn) closeIdle() {
+// endIdle ends the connection if no request is under way. A request whose first
+// bytes have arrived is still read and answered.
+func (k *conn) endIdle() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.idle {
-		_ = k.c.Close()
+		_ = k.c.SetReadDeadline(time.Now())
 	}
 }
 
-func (k *conn) setIdle(idle bool) {
+// awaitRequest waits for the first byte of a request and reports whether one
+// came.
+func (k *conn) awaitRequest(idle time.Duration) bool {
+	k.mu.Lock()
+	until := time.Now().Add(idle)
+	if k.server.closed.Load() {
+		until = time.Now()
+	}
+	_ = k.c.SetReadDeadline(until)
+	k.idle = true
+	k.mu.Unlock()
+	_, err := k.br.Peek(1)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.idle = idle
+	k.idle = false
+	return err == nil
 }
 
 func (k *conn) serve() {
@@ -199,12 +215,9 @@
 func (k *conn) next(req *fasthttp.Request) bool {
 	req.Reset()
 	l := k.server.limits()
-	k.setIdle(true)
-	_ = k.c.SetReadDeadline(time.Now().Add(l.IdleTimeout))
-	if _, err := k.br.Peek(1); err != nil {
+	if !k.awaitRequest(l.IdleTimeout) {
 		return false
 	}
-	k.setIdle(false)
 	k.server.active.Add(1)
 	defer k.server.active.Add(-1)
 	_ = k.c.SetReadDeadline(time.Now().Add(l.HeaderTimeout))
--- a/gate/process/ranks/group.go
+++ b/gate/process/ranks/group.go
@@ -57,12 +57,18 @@
 
 // group is what the leader knows of one group. It belongs to one goroutine.
 type group struct {
-	spec  *Spec
-	ranks core.Ranks
-	trail *trail.Trail
-	// token is the lease's, switches the number of versions made under it.
-	token    uint64
-	switches uint64
+	spec *Spec
+	// ranks reaches the ranks through the processes beside them, and direct the
+	// engines themselves.
+	ranks  core.Ranks
+	direct core.Ranks
+	trail  *trail.Trail
+	// token is the lease's.
+	token uint64
+	// nonce tells the versions of this process from those of all others;
+	// highest is the highest version seen.
+	nonce   uint64
+	highest uint64
 
 	epoch uint64
 	// version and lists are the map in use; lists is nil while it is unknown.
@@ -105,16 +111,17 @@
 	g.step, g.stepAt, g.passTime = 0, time.Time{}, 0
 }
 
-// nextVersion returns a map version that no leader has used before.
+// nonceBits is the size of the part of a version that tells processes apart.
+// Versions stay below 2^53, the integers that JSON numbers hold exactly.
+const nonceBits = 16
+
+// nextVersion returns a map version above all that were seen, which no other
+// process uses.
 func (g *group) nextVersion() uint64 {
-	g.switches++
-	return g.token*versionsPerToken + g.switches
+	g.highest = (max(g.token, g.highest>>nonceBits)+1)<<nonceBits | g.nonce
+	return g.highest
 }
 
-// versionsPerToken bounds the switches that one leader makes. Versions stay
-// below the integers that JSON numbers hold exactly.
-const versionsPerToken = 100000
-
 // observeStep measures the time of a pass.
 func (g *group) observeStep(now time.Time, step uint64) {
 	if n := step - g.step; !g.stepAt.IsZero() && step > g.step {
--- a/gate/process/ranks/leader.go
+++ b/gate/process/ranks/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,9 +26,12 @@
 // Leader contends for the lease and balances all groups while it holds it. Its
 // exported fields are set before Run.
 type Leader struct {
-	Ranks core.Ranks
-	Store core.Store
-	Trail *trail.Trail
+	// Ranks reaches the ranks through the processes beside them, and Direct the
+	// engines themselves.
+	Ranks  core.Ranks
+	Direct core.Ranks
+	Store  core.Store
+	Trail  *trail.Trail
 	// Holder names this process among the contenders.
 	Holder string
 	// Contends reports whether this gate contends for the lease now.
@@ -35,6 +39,7 @@
 
 	specs atomic.Pointer[map[string]*Spec]
 	lease atomic.Pointer[lease.Lease]
+	nonce uint64
 }
 
 // Update takes over the groups.
@@ -44,7 +49,9 @@
 func (l *Leader) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	l.nonce = rand.Uint64N(1 << nonceBits)
 	wg.Go(func() { l.contend(ctx) })
+	wg.Go(func() { l.guard(ctx) })
 	groups := map[string]*group{}
 	busy := map[string]*atomic.Bool{}
 	tick := time.NewTicker(roundPeriod)
@@ -70,7 +77,7 @@
 		for name, spec := range *l.specs.Load() {
 			g := groups[name]
 			if g == nil {
-				g = &group{ranks: l.Ranks, trail: l.Trail, token: token}
+				g = l.newGroup(token)
 				groups[name], busy[name] = g, &atomic.Bool{}
 			}
 			flag := busy[name]
@@ -89,6 +96,10 @@
 	}
 }
 
+func (l *Leader) newGroup(token uint64) *group {
+	return &group{ranks: l.Ranks, direct: l.Direct, trail: l.Trail, token: token, nonce: l.nonce}
+}
+
 // held returns the token of the lease, zero if it is not held.
 func (l *Leader) held() (uint64, bool) {
 	if t := l.lease.Load(); t != nil {
--- a/gate/process/ranks/recover.go
+++ b/gate/process/ranks/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -65,6 +66,7 @@
 		}
 	}
 	if !complete {
+		// If all ranks are armed by now, the next round completes the switch.
 		if err := g.takeBack(ctx); err != nil {
 			return trace.Wrap(err, "take back")
 		}
@@ -101,7 +103,10 @@
 
 // takeBack leaves every rank unarmed and without the version prepared that the
 // former leader would arm: it has each prepare the map in use under a new
-// version, which a rank refuses only while it is armed.
+// version, which a rank refuses only while it is armed. Promises are taken back
+// only after one rank has accepted: the former leader can then no longer have
+// all ranks confirmed. It fails with trace.CompareFailed if all ranks turn out
+// to be armed.
 func (g *group) takeBack(ctx context.Context) error {
 	if g.lists == nil {
 		if err := g.learn(ctx); err != nil {
@@ -109,29 +114,54 @@
 		}
 	}
 	version := g.nextVersion()
+	refused := make([]bool, len(g.spec.Members))
+	if err := g.each(func(rank int) error {
+		accepted, err := g.prepareUnarmed(ctx, rank, version)
+		refused[rank] = !accepted
+		return err
+	}); err != nil {
+		return err
+	}
+	if !slices.Contains(refused, false) {
+		return trace.CompareFailed("all ranks are armed")
+	}
 	return g.each(func(rank int) error {
-		for ctx.Err() == nil {
-			err := g.confirm(ctx, rank, core.RankOrder{Verb: core.RankPrepare, Map: version, Placement: g.lists})
-			if err == nil {
-				return nil
-			}
-			if !trace.IsCompareFailed(err) {
-				return err
-			}
-			r, rerr := g.report(ctx, rank, false)
+		for refused[rank] {
+			r, err := g.report(ctx, rank, false)
 			switch {
-			case rerr != nil:
-			case r.Epoch != g.epoch:
+			case ctx.Err() != nil:
+				return trace.ConnectionProblem(ctx.Err(), "rank %d did not give its promise back in time", rank)
+			case err == nil && r.Epoch != g.epoch:
 				return trace.CompareFailed("the group has formed anew")
-			case r.Prepared == version:
-				return nil
-			case r.Armed:
+			case err == nil && r.Armed:
 				if err := g.confirm(ctx, rank, core.RankOrder{Verb: core.RankDisarm, Map: r.ArmedMap}); err != nil && !trace.IsCompareFailed(err) {
 					return err
 				}
 			}
-			sleep(ctx, orderPause)
+			accepted, err := g.prepareUnarmed(ctx, rank, version)
+			if err != nil {
+				return err
+			}
+			refused[rank] = !accepted
 		}
-		return trace.ConnectionProblem(ctx.Err(), "rank %d did not give its promise back in time", rank)
+		return nil
 	})
 }
+
+// prepareUnarmed orders a rank to prepare the map in use under a version, and
+// reports whether it has: an armed rank refuses.
+func (g *group) prepareUnarmed(ctx context.Context, rank int, version uint64) (bool, error) {
+	err := g.confirm(ctx, rank, core.RankOrder{Verb: core.RankPrepare, Map: version, Placement: g.lists})
+	if err == nil || !trace.IsCompareFailed(err) {
+		return err == nil, err
+	}
+	r, err := g.report(ctx, rank, false)
+	if err != nil {
+		return false, err
+	}
+	if r.Epoch != g.epoch {
+		return false, trace.CompareFailed("the group has formed anew")
+	}
+	// An earlier order took effect whose answer was lost.
+	return r.Prepared == version, nil
+}
--- a/gate/process/ranks/round.go
+++ b/gate/process/ranks/round.go
@@ -55,6 +55,9 @@
 		g.reset(reports[0].Epoch)
 	}
 	now := time.Now()
+	for _, r := range reports {
+		g.highest = max(g.highest, r.Map, r.Prepared, r.ArmedMap)
+	}
 	g.observe(now, reports)
 	g.observeStep(now, reports[0].Step)
 	if u := g.unfinishedIn(reports); u != nil {
--- a/gate/process/ranks/swap.go
+++ b/gate/process/ranks/swap.go
@@ -84,14 +84,27 @@
 	return nil
 }
 
+// via returns the way of an order. A hold and its end go straight to the
+// engine: the process that passes a hold on may freeze with it, and with its
+// machine the engine's own interface, so that the hold could not be ended.
+func (g *group) via(v core.RankVerb) core.Ranks {
+	if v == core.RankHold || v == core.RankRelease {
+		return g.direct
+	}
+	return g.ranks
+}
+
 // order sends one order to one rank.
 func (g *group) order(ctx context.Context, rank int, o core.RankOrder) error {
 	o.Token, o.Epoch = g.token, g.epoch
 	octx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := g.ranks.Order(octx, g.spec.Members[rank], o)
-	if trace.IsConnectionProblem(err) {
-		meter.Event("orders_lost")
+	start := time.Now()
+	err := g.via(o.Verb).Order(octx, g.spec.Members[rank], o)
+	if err != nil {
+		meter.Event("orders_failed")
+		g.trail.Log("order_failed", "group", g.spec.Name, "epoch", g.epoch, "rank", rank, "order", string(o.Verb), "map", o.Map, "step", o.Step,
+			"token", o.Token, "took", time.Since(start), "error", trace.UserMessage(err))
 	}
 	return err
 }
--- a/gate/request/relay/budget.go
+++ b/gate/request/relay/budget.go
@@ -23,8 +23,10 @@
 	repeats [buckets]int
 }
 
-// buckets is the number of parts of a window. One more part than the window
-// has is counted, so that every span of the window's length is covered.
+// buckets is the number of parts that are counted: one more than a window has.
+// All of them count for the further sends, so that every span of the window's
+// length is covered, and two less for the requests, so that none is counted
+// that has left the window.
 const buckets = 11
 
 // reserve is the part of the burst that is used, because the number of gates
@@ -67,13 +69,18 @@
 		// sent in the same window.
 		burst = 0
 	}
-	if float64(sum(b.repeats)+1) > b.Ratio*float64(sum(b.firsts))+burst {
+	if float64(sum(b.repeats)+1) > b.Ratio*float64(sum(b.firsts)-b.oldest())+burst {
 		return false
 	}
 	b.repeats[i]++
 	return true
 }
 
+// oldest returns the requests in the two oldest parts.
+func (b *Budget) oldest() int {
+	return b.firsts[(b.at+1)%buckets] + b.firsts[(b.at+2)%buckets]
+}
+
 // Return gives back what Take took, for a send that was not made.
 func (b *Budget) Return() {
 	b.mu.Lock()
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -142,9 +142,10 @@
 		Picker: &fleet.Picker{Fleet: g.fleet, Zone: s.Zone},
 		Bounds: relay.Bounds{RetryRatio: s.Retry.Ratio, RetryBurst: s.Retry.Burst, RetryWindow: s.Retry.Window.Or(10 * time.Second)},
 	}
-	g.ranks = &beside.Client{Port: s.Ranks, Direct: platform.NewWorkers(), HTTP: peerClient}
+	workers := platform.NewWorkers()
+	g.ranks = &beside.Client{Port: s.Ranks, Direct: workers, HTTP: peerClient}
 	g.leader = &ranks.Leader{
-		Ranks: g.ranks,
+		Ranks: g.ranks, Direct: workers,
 		Store: g.store, Trail: g.Trail, Holder: fmt.Sprintf("%s/%x", s.Instance, g.gossip.Incarnation),
 		Contends: func() bool { return !g.draining.Load() && g.gossip.First(contenders) },
 	}
