Follow a replaced leader at once; leave out entries of former processes

Requests that waited to the end of their caller's patience were sent too late to be answered.

Change: a holder whose instance runs another incarnation has ended; of several entries for a rank or an address the latest counts; waiting ends 0.55 s before the caller's patience. A switch whose reports were read while it took effect is no longer taken for an unfinished one.

--- a/core/process/lease/lease.go
+++ b/core/process/lease/lease.go
@@ -47,7 +47,10 @@
 	TTL time.Duration
 	// Renew is the time between attempts to renew or acquire, and bounds each
 	// call to the store; default TTL/4.
-	Renew  time.Duration
+	Renew time.Duration
+	// Ended reports whether another holder's process is known to have ended, so
+	// that its term need not be waited for; nil means that none is.
+	Ended  func(holder string) bool
 	Logger log.Logger
 
 	term atomic.Pointer[term]
@@ -147,7 +150,7 @@
 	if obj.Version == l.mine.Version {
 		return l.write(ctx, 0, obj.Version)
 	}
-	if l.Clock.Now().Sub(l.since) < l.ttl(obj) {
+	if l.Clock.Now().Sub(l.since) < l.ttl(obj) && (l.Ended == nil || !l.Ended(obj.Writer)) {
 		return nil
 	}
 	return l.write(ctx, 0, obj.Version)
--- a/gate/process/fleet/fleet.go
+++ b/gate/process/fleet/fleet.go
@@ -1,10 +1,13 @@
 package fleet
 
 import (
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/trail"
 	"parsleyroute.example/gate/conn/outlet"
@@ -77,6 +80,7 @@
 	}
 	f.config = config
 	f.updateZones(now, out)
+	peers = latest(peers)
 	for id, u := range f.upstreams {
 		if p := peers[id]; p == nil || p.Addr != u.Conn.Addr || p.Born != u.Born {
 			_ = u.Conn.Close()
@@ -91,6 +95,18 @@
 	f.publish()
 }
 
+// latest leaves out the entries whose address a later process has taken over:
+// they lapse seconds after the end of theirs.
+func latest(peers map[string]*core.Peer) map[string]*core.Peer {
+	byAddr := make(map[netip.AddrPort]*core.Peer, len(peers))
+	for _, p := range peers {
+		if o := byAddr[p.Addr]; o == nil || p.Born > o.Born {
+			byAddr[p.Addr] = p
+		}
+	}
+	return lo.PickBy(peers, func(_ string, p *core.Peer) bool { return byAddr[p.Addr].Born <= p.Born })
+}
+
 func (f *Fleet) updatePeer(now time.Time, id string, p *core.Peer) {
 	u := f.upstreams[id]
 	if u == nil {
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -278,3 +278,16 @@
 	}
 	return below < n
 }
+
+// Present returns the incarnation that runs on an instance now, if it was heard
+// lately.
+func (g *Gossip) Present(instance string) (incarnation uint64, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		if !p.lost && p.beat.GetInstance() == instance {
+			return p.beat.GetIncarnation(), true
+		}
+	}
+	return 0, false
+}
--- a/gate/process/ranks/group.go
+++ b/gate/process/ranks/group.go
@@ -40,11 +40,11 @@
 		ranked[p.Group.Name] = append(ranked[p.Group.Name], p)
 	}
 	for name, peers := range ranked {
-		slices.SortFunc(peers, func(a, b *core.Peer) int { return cmp.Compare(a.Group.Rank, b.Group.Rank) })
+		peers = newest(peers)
 		s := &Spec{Name: name, Pool: peers[0].Pool, Engine: *config.Pools[peers[0].Pool].Engine, Size: peers[0].Group.Size}
 		for i, p := range peers {
 			if p.Group.Rank != i {
-				// A rank is missing, or its successor is listed beside it.
+				// A rank is missing.
 				s.Members = nil
 				break
 			}
@@ -55,6 +55,15 @@
 	return specs
 }
 
+// newest returns one entry for each rank, in order: that of the latest engine
+// process. The entries of former ones lapse seconds after their end.
+func newest(peers []*core.Peer) []*core.Peer {
+	slices.SortFunc(peers, func(a, b *core.Peer) int {
+		return cmp.Or(cmp.Compare(a.Group.Rank, b.Group.Rank), cmp.Compare(b.Group.Epoch, a.Group.Epoch), cmp.Compare(b.Born, a.Born))
+	})
+	return slices.CompactFunc(peers, func(a, b *core.Peer) bool { return a.Group.Rank == b.Group.Rank })
+}
+
 // group is what the leader knows of one group. It belongs to one goroutine.
 type group struct {
 	spec *Spec
--- a/gate/process/ranks/leader.go
+++ b/gate/process/ranks/leader.go
@@ -34,6 +34,8 @@
 	Trail  *trail.Trail
 	// Holder names this process among the contenders.
 	Holder string
+	// Ended reports whether another contender's process is known to have ended.
+	Ended func(holder string) bool
 	// Contends reports whether this gate contends for the lease now.
 	Contends func() bool
 
@@ -116,7 +118,7 @@
 			continue
 		}
 		lctx, cancel := context.WithCancel(ctx)
-		t := &lease.Lease{Store: l.Store, Name: leaseName, Holder: l.Holder, TTL: leaseTTL, Renew: leaseRenew}
+		t := &lease.Lease{Store: l.Store, Name: leaseName, Holder: l.Holder, TTL: leaseTTL, Renew: leaseRenew, Ended: l.Ended}
 		l.lease.Store(t)
 		done := make(chan struct{})
 		go func() {
--- a/gate/process/ranks/recover.go
+++ b/gate/process/ranks/recover.go
@@ -40,12 +40,17 @@
 	if u.armed == 0 && len(u.held) == 0 {
 		return nil
 	}
-	if len(u.held) == 0 && u.armed == len(reports) {
-		// The hold was released with all ranks armed; the group switches when
-		// the pass begins.
-		return nil
+	if len(u.held) > 0 {
+		return &u
 	}
-	return &u
+	for _, r := range reports {
+		if !r.Armed && r.Map != u.version {
+			return &u
+		}
+	}
+	// The hold was released with all ranks armed: the group switches as the pass
+	// begins, or has switched while the reports were read.
+	return nil
 }
 
 // finish completes an unfinished switch, or takes it back if it cannot be
--- a/gate/request/relay/trip.go
+++ b/gate/request/relay/trip.go
@@ -41,8 +41,9 @@
 	leastPatience     = 2 * time.Second
 	objectivePatience = 4
 	pausePatience     = 8
-	// patienceMargin is how long before that a request is answered.
-	patienceMargin = 200 * time.Millisecond
+	// patienceMargin is how long before that a request that waits is refused: the
+	// time to the first event of a busy engine.
+	patienceMargin = 550 * time.Millisecond
 	// maxUnsent bounds the upstreams that are tried without sending anything.
 	maxUnsent = 4
 	// answerMargin is the time kept to write a last answer before the deadline.
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -146,7 +147,8 @@
 	g.ranks = &beside.Client{Port: s.Ranks, Direct: workers, HTTP: peerClient}
 	g.leader = &ranks.Leader{
 		Ranks: g.ranks, Direct: workers,
-		Store: g.store, Trail: g.Trail, Holder: fmt.Sprintf("%s/%x", s.Instance, g.gossip.Incarnation),
+		Store: g.store, Trail: g.Trail, Holder: holder(s.Instance, g.gossip.Incarnation),
+		Ended:    g.ended,
 		Contends: func() bool { return !g.draining.Load() && g.gossip.First(contenders) },
 	}
 	g.leader.Update(nil)
@@ -161,6 +163,22 @@
 	}
 }
 
+// holder names a process among those that contend for the lease.
+func holder(instance string, incarnation uint64) string {
+	return fmt.Sprintf("%s/%x", instance, incarnation)
+}
+
+// ended reports whether a contender has been replaced by a later process on its
+// instance.
+func (g *Gate) ended(other string) bool {
+	instance, _, _ := strings.Cut(other, "/")
+	if instance == g.Settings.Instance {
+		return other != holder(instance, g.gossip.Incarnation)
+	}
+	incarnation, ok := g.gossip.Present(instance)
+	return ok && other != holder(instance, incarnation)
+}
+
 // offer hands a state to the control goroutine. Only the newest counts.
 func (g *Gate) offer(s view.State) {
 	select {
