Test the request path and the adapter against stand-ins

The shared suite of core.Store runs against the adapter; it found that an update with version 0 was unconditional, and that a watch of several kinds lost changes of all but the first. A worker that refuses because of another rank is asked again once its group is open.

--- a/core/suite/store.go
+++ b/core/suite/store.go
@@ -20,7 +20,11 @@
 
 // Store registers the specs of core.Store. open returns an empty store whose
 // watches wait for 50 to 200 ms, and releases it with DeferCleanup.
-func Store(name string, open func() core.Store) bool {
+func Store(name string, open func() core.Store) bool { return StoreOf(name, memory.MaxValue, open) }
+
+// StoreOf registers the specs of a core.Store whose values have at most
+// maxValue bytes.
+func StoreOf(name string, maxValue int, open func() core.Store) bool {
 	return ginkgo.Describe(name, func() {
 		var s core.Store
 		var ctx context.Context
@@ -78,9 +82,9 @@
 			gomega.Expect(trace.IsNotFound(err)).To(gomega.BeTrue(), "%v", err)
 			_, err = s.Create(ctx, core.Object{Key: key("")})
 			gomega.Expect(trace.IsBadParameter(err)).To(gomega.BeTrue(), "%v", err)
-			_, err = s.Create(ctx, core.Object{Key: key("big"), Value: bytes.Repeat([]byte("x"), memory.MaxValue+1)})
+			_, err = s.Create(ctx, core.Object{Key: key("big"), Value: bytes.Repeat([]byte("x"), maxValue+1)})
 			gomega.Expect(trace.IsBadParameter(err)).To(gomega.BeTrue(), "%v", err)
-			_, err = s.Create(ctx, core.Object{Key: key("big"), Value: bytes.Repeat([]byte("x"), memory.MaxValue)})
+			_, err = s.Create(ctx, core.Object{Key: key("big"), Value: bytes.Repeat([]byte("x"), maxValue)})
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		})
 
--- /dev/null
+++ b/fakes/process/meta/meta.go
@@ -0,0 +1,309 @@
+// Package meta is a stand-in for the platform's metadata store: objects by kind
+// and name, lists, watches and conditional writes over HTTP, with faults.
+package meta
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const prefix = "/-/objects/"
+
+// pageSize is the number of objects on one page of a list; small, so that tests
+// read several pages.
+const pageSize = 5
+
+// Faults are what the store does wrong.
+type Faults struct {
+	// Status answers all calls with it, if it is not zero.
+	Status int
+	// Silent leaves all calls without an answer.
+	Silent bool
+	// LoseWrites carries out writes and closes the connection.
+	LoseWrites bool
+}
+
+// Server is the store. Its zero value is ready for Start.
+type Server struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]*object
+	history  []event
+	// forgotten is the revision up to which the history is gone.
+	forgotten uint64
+	changed   chan struct{}
+	faults    Faults
+	calls     int
+
+	http *http.Server
+	ln   net.Listener
+}
+
+type metadata struct {
+	Name            string   `json:"name"`
+	Revision        uint64   `json:"revision"`
+	Created         uint64   `json:"created"`
+	Finalizers      []string `json:"finalizers"`
+	DeletionPending bool     `json:"deletion_pending"`
+}
+
+type object struct {
+	Metadata metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+type event struct {
+	kind    string
+	Deleted bool   `json:"deleted"`
+	Object  object `json:"object"`
+}
+
+// Start opens a listener on the loopback address.
+func (s *Server) Start() error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.ln, s.objects, s.changed = ln, map[string]map[string]*object{}, make(chan struct{})
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(ln) }()
+	return nil
+}
+
+// Addr returns the store's address.
+func (s *Server) Addr() netip.AddrPort { return netip.MustParseAddrPort(s.ln.Addr().String()) }
+
+// Close ends all connections.
+func (s *Server) Close() { _ = s.http.Close() }
+
+// Set changes the faults. Watches that wait are answered.
+func (s *Server) Set(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// Calls returns the number of calls.
+func (s *Server) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Forget drops the history.
+func (s *Server) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgotten = nil, s.revision
+	s.wake()
+}
+
+// Put writes an object as the operator or a worker does.
+func (s *Server) Put(kind, name string, spec any) uint64 {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	return s.PutRaw(kind, name, data)
+}
+
+// PutRaw writes an object whose spec is raw JSON.
+func (s *Server) PutRaw(kind, name string, spec json.RawMessage) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(kind, name, spec).Metadata.Revision
+}
+
+// Remove deletes an object.
+func (s *Server) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+func (s *Server) put(kind, name string, spec json.RawMessage) *object {
+	s.revision++
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]*object{}
+	}
+	o := &object{Metadata: metadata{Name: name, Revision: s.revision, Created: s.revision, Finalizers: []string{}}, Spec: spec}
+	if old := s.objects[kind][name]; old != nil {
+		o.Metadata.Created = old.Metadata.Created
+	}
+	s.objects[kind][name] = o
+	s.history = append(s.history, event{kind: kind, Object: *o})
+	s.wake()
+	return o
+}
+
+func (s *Server) remove(kind, name string) {
+	o := s.objects[kind][name]
+	if o == nil {
+		return
+	}
+	s.revision++
+	delete(s.objects[kind], name)
+	gone := *o
+	gone.Metadata.Revision = s.revision
+	s.history = append(s.history, event{kind: kind, Deleted: true, Object: gone})
+	s.wake()
+}
+
+func (s *Server) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	f := s.faults
+	s.mu.Unlock()
+	if f.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if f.Status != 0 {
+		w.WriteHeader(f.Status)
+		return
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), prefix), "/")
+	switch r.Method {
+	case http.MethodGet:
+		s.get(w, r, kind, name)
+	case http.MethodPost, http.MethodPut, http.MethodDelete:
+		s.write(w, r, kind, name, f)
+	default:
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request, kind, name string) {
+	q := r.URL.Query()
+	if from := q.Get("watch"); from != "" {
+		s.watch(w, r, kind, from, q.Get("wait_ms"))
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if name != "" {
+		if o := s.objects[kind][name]; o != nil {
+			reply(w, http.StatusOK, o)
+			return
+		}
+		reply(w, http.StatusNotFound, map[string]any{"at": s.revision})
+		return
+	}
+	names := make([]string, 0, len(s.objects[kind]))
+	for n := range s.objects[kind] {
+		if n > q.Get("after") {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	entries := []*object{}
+	for _, n := range names[:min(len(names), pageSize)] {
+		entries = append(entries, s.objects[kind][n])
+	}
+	reply(w, http.StatusOK, map[string]any{"entries": entries, "has_more": len(names) > pageSize, "at": s.revision})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, kind, from, wait string) {
+	after, err := strconv.ParseUint(from, 10, 64)
+	ms, err2 := strconv.Atoi(wait)
+	if err != nil || err2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timeout := time.After(time.Duration(ms) * time.Millisecond)
+	for over := false; ; {
+		s.mu.Lock()
+		if after < s.forgotten {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		events := []event{}
+		for _, e := range s.history {
+			if e.kind == kind && e.Object.Metadata.Revision > after {
+				events = append(events, e)
+			}
+		}
+		at, changed, faults := s.revision, s.changed, s.faults
+		s.mu.Unlock()
+		if faults.Status != 0 || faults.Silent {
+			// A watch that waits is cut off.
+			panic(http.ErrAbortHandler)
+		}
+		if len(events) > 0 || over {
+			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request, kind, name string, f Faults) {
+	var in object
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	status, out := s.change(r, kind, name, in)
+	if f.LoseWrites {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, status, out)
+}
+
+func (s *Server) change(r *http.Request, kind, name string, in object) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Method == http.MethodPost {
+		name = in.Metadata.Name
+		if o := s.objects[kind][name]; o != nil {
+			return http.StatusConflict, o
+		}
+		return http.StatusOK, s.put(kind, name, in.Spec)
+	}
+	o := s.objects[kind][name]
+	if o == nil {
+		return http.StatusNotFound, map[string]any{"at": s.revision}
+	}
+	want := in.Metadata.Revision
+	if q := r.URL.Query().Get("revision"); q != "" {
+		want, _ = strconv.ParseUint(q, 10, 64)
+	}
+	if want != 0 && want != o.Metadata.Revision {
+		return http.StatusConflict, o
+	}
+	if r.Method == http.MethodDelete {
+		s.remove(kind, name)
+		return http.StatusOK, map[string]any{"at": s.revision}
+	}
+	return http.StatusOK, s.put(kind, name, in.Spec)
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/gate/request/relay/attempt.go
+++ b/gate/request/relay/attempt.go
@@ -251,6 +251,10 @@
 		case info.Culprit != "":
 			t.log("group_stalled", "upstream", u.ID, "culprit", info.Culprit)
 			t.r.Picker.Fleet.GroupDown(time.Now(), u, info.Culprit)
+			if info.Culprit != u.Conn.Addr.String() {
+				// The upstream itself is sound.
+				t.tried = t.tried[:len(t.tried)-1]
+			}
 		}
 		return result{verdict: verdictNotRun, outcome: fleet.Neutral, err: trace.LimitExceeded("the upstream did not run the request: status %d", status)}
 	case status/100 == 2 && !t.genuine(h, info):
