--- a/core/process/beside/beside_test.go
+++ b/core/process/beside/beside_test.go
@@ -74,8 +74,10 @@
 		err error
 		is  func(error) bool
 	}{
-		{trace.CompareFailed("x"), trace.IsCompareFailed}, {trace.AccessDenied("x"), trace.IsAccessDenied},
-		{trace.NotFound("x"), trace.IsNotFound}, {trace.BadParameter("x"), trace.IsBadParameter},
+		{trace.CompareFailed("x"), trace.IsCompareFailed},
+		{trace.AccessDenied("x"), trace.IsAccessDenied},
+		{trace.NotFound("x"), trace.IsNotFound},
+		{trace.BadParameter("x"), trace.IsBadParameter},
 		{trace.ConnectionProblem(nil, "x"), trace.IsConnectionProblem},
 	} {
 		near.err = e.err
