Follow the store with one gate in each zone; tell the others of changes

Cause: each gate watched three kinds.

Change: a gate whose zone has a watcher with a lower address, and that hears two such in all, does not watch. A watcher sends a beat at once when it knows more, and peers pull what they lack; the answer holds only what changed, with deletions.

--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -55,11 +56,16 @@
 	// Load and Known fill in a beat.
 	Load  func() map[uint64]int
 	Known func() []*wire.KindRevision
+	// Watching reports whether the gate follows the store itself.
+	Watching func() bool
 	// Leaving reports whether the gate has begun to shut down.
 	Leaving func() bool
 	// OnBeat is called with the sender's address for each beat of a peer.
 	OnBeat func(addr netip.AddrPort, b *wire.Beat)
 
+	once      sync.Once
+	announced chan struct{}
+
 	mu      sync.Mutex
 	conn    *net.UDPConn
 	peers   map[netip.AddrPort]*peer
@@ -106,27 +112,43 @@
 	defer tick.Stop()
 	var sequence uint64
 	for {
+		sequence++
 		select {
 		case <-ctx.Done():
 			_ = conn.Close()
 			<-done
 			return nil
 		case <-tick.C:
-			sequence++
-			g.send(sequence)
+			g.send(sequence, perPeriod)
+		case <-g.news():
+			g.send(sequence, math.MaxInt)
 		}
 	}
 }
 
-func (g *Gossip) send(sequence uint64) {
+// Announce has a beat sent to all peers at once, since there is something new.
+func (g *Gossip) Announce() {
+	select {
+	case g.news() <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Gossip) news() chan struct{} {
+	g.once.Do(func() { g.announced = make(chan struct{}, 1) })
+	return g.announced
+}
+
+// send sends a beat to at most most peers.
+func (g *Gossip) send(sequence uint64, most int) {
 	b := &wire.Beat{
 		Instance: g.Instance, Incarnation: g.Incarnation, Zone: g.Zone, Sequence: sequence,
-		Address: g.Listen.String(), Known: g.Known(), Leaving: g.Leaving(),
+		Address: g.Listen.String(), Known: g.Known(), Leaving: g.Leaving(), Watching: g.Watching(),
 	}
 	for key, n := range g.Load() {
 		b.Loads = append(b.Loads, &wire.UpstreamLoad{Key: key, Inflight: uint32(n)})
 	}
-	to, live := g.targets(sequence)
+	to, live := g.targets(sequence, most)
 	b.Peers = live
 	data, err := proto.Marshal(b)
 	if err != nil || len(data) > maxDatagram {
@@ -145,7 +167,7 @@
 const silentEvery = 5
 
 // targets returns the peers that get this beat, and some that are alive.
-func (g *Gossip) targets(sequence uint64) (to []netip.AddrPort, live []string) {
+func (g *Gossip) targets(sequence uint64, most int) (to []netip.AddrPort, live []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -170,7 +192,7 @@
 	}
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return all[:min(len(all), perPeriod)], live[:min(len(live), passedOn)]
+	return all[:min(len(all), most)], live[:min(len(live), passedOn)]
 }
 
 func (g *Gossip) seed(a netip.AddrPort) bool {
@@ -291,3 +313,31 @@
 	}
 	return 0, false
 }
+
+const (
+	// zoneWatchers and allWatchers are the numbers of gates that follow the
+	// store themselves: one in each zone, which can be cut off from the others,
+	// and so many in all.
+	zoneWatchers = 1
+	allWatchers  = 2
+	// watcherFresh is the age up to which a watcher's beat counts.
+	watcherFresh = 700 * time.Millisecond
+)
+
+// Leads reports whether this gate is to follow the store itself: too few gates
+// with an address below its own do.
+func (g *Gossip) Leads() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	zone, all := 0, 0
+	for a, p := range g.peers {
+		if p.beat.GetWatching() && !p.beat.GetLeaving() && now.Sub(p.heard) < watcherFresh && a.Compare(g.Listen) < 0 {
+			all++
+			if p.beat.GetZone() == g.Zone {
+				zone++
+			}
+		}
+	}
+	return zone < zoneWatchers || all < allWatchers
+}
--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -25,7 +25,7 @@
 	g := &gossip.Gossip{
 		Listen: addr, Seeds: seeds, Instance: name, Incarnation: uint64(len(name)),
 		Load: func() map[uint64]int { return load }, Known: func() []*wire.KindRevision { return nil },
-		Leaving: func() bool { return false }, OnBeat: func(netip.AddrPort, *wire.Beat) {},
+		Leaving: func() bool { return false }, Watching: func() bool { return true }, OnBeat: func(netip.AddrPort, *wire.Beat) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -55,6 +55,13 @@
 		}
 	}
 	g.Expect(first).To(Equal(1))
+	leads := 0
+	for _, n := range []*gossip.Gossip{a, b, c} {
+		if n.Leads() {
+			leads++
+		}
+	}
+	g.Expect(leads).To(Equal(2), "gates that follow the store")
 	time.Sleep(3 * time.Second)
 	g.Expect(c.Gates()).To(Equal(3))
 	stopB()
--- a/gate/process/view/kind.go
+++ b/gate/process/view/kind.go
@@ -17,6 +17,27 @@
 	head uint64
 	// synced is set once a complete state was applied.
 	synced bool
+	// deleted holds the versions of deletions by name; those up to forgotten
+	// are not kept.
+	deleted   map[string]uint64
+	forgotten uint64
+}
+
+// keptDeletions bounds the deletions that are kept for peers.
+const keptDeletions = 512
+
+func (k *kindState) forget(name string, version uint64) {
+	delete(k.objects, name)
+	if len(k.deleted) >= keptDeletions {
+		for _, v := range k.deleted {
+			k.forgotten = max(k.forgotten, v)
+		}
+		clear(k.deleted)
+	}
+	if k.deleted == nil {
+		k.deleted = map[string]uint64{}
+	}
+	k.deleted[name] = version
 }
 
 // replace applies a complete state as of the revision and returns the names
@@ -29,10 +50,14 @@
 	}
 	for name, o := range k.objects {
 		if !listed[name] && o.Version <= revision {
-			delete(k.objects, name)
+			// When it was deleted is not known, only that it was by then.
+			k.forget(name, revision)
 			changed = append(changed, name)
 		}
 	}
+	if !k.synced {
+		k.forgotten = max(k.forgotten, revision)
+	}
 	k.synced = true
 	return changed
 }
@@ -45,7 +70,7 @@
 		k.head = max(k.head, o.Version)
 		switch {
 		case o.Deleted && ok && o.Version >= known.Version:
-			delete(k.objects, o.Name)
+			k.forget(o.Name, o.Version)
 		case !o.Deleted && (!ok || o.Version > known.Version):
 			k.objects[o.Name] = o
 		default:
@@ -56,12 +81,21 @@
 	return changed
 }
 
-// wire returns the state as a message.
-func (k *kindState) wire() *wire.KindState {
-	s := &wire.KindState{Kind: string(k.kind), Revision: k.head}
+// wire returns what a peer lacks that knows the kind up to a version.
+func (k *kindState) wire(known uint64) *wire.KindState {
+	s := &wire.KindState{Kind: string(k.kind), Revision: k.head, Complete: known < k.forgotten}
 	for _, name := range slices.Sorted(maps.Keys(k.objects)) {
-		o := k.objects[name]
-		s.Objects = append(s.Objects, &wire.Object{Kind: string(o.Kind), Name: o.Name, Version: o.Version, Value: o.Value})
+		if o := k.objects[name]; s.Complete || o.Version > known {
+			s.Objects = append(s.Objects, &wire.Object{Name: o.Name, Version: o.Version, Value: o.Value})
+		}
+	}
+	if s.Complete {
+		return s
+	}
+	for name, version := range k.deleted {
+		if _, ok := k.objects[name]; !ok && version > known {
+			s.Objects = append(s.Objects, &wire.Object{Name: name, Version: version, Deleted: true})
+		}
 	}
 	return s
 }
@@ -71,7 +105,7 @@
 	list := make([]core.Object, 0, len(s.GetObjects()))
 	for _, o := range s.GetObjects() {
 		list = append(list, core.Object{
-			Key: core.Key{Kind: core.Kind(s.GetKind()), Name: o.GetName()}, Version: o.GetVersion(), Value: o.GetValue(),
+			Key: core.Key{Kind: core.Kind(s.GetKind()), Name: o.GetName()}, Version: o.GetVersion(), Value: o.GetValue(), Deleted: o.GetDeleted(),
 		})
 	}
 	return list
--- a/gate/process/view/relay.go
+++ b/gate/process/view/relay.go
@@ -45,7 +45,11 @@
 		// The first sign, or one after a time without any.
 		v.behind = now
 	}
-	if now.Sub(v.behind) < pullPatience || v.pulling || now.Sub(v.pulled) < pullPeriod {
+	patience := pullPatience
+	if !v.Watching() {
+		patience = 0
+	}
+	if now.Sub(v.behind) < patience || v.pulling || now.Sub(v.pulled) < pullPeriod {
 		return
 	}
 	v.pulling, v.pulled = true, now
@@ -72,9 +76,9 @@
 			continue
 		}
 		meter.Event("pulled")
-		v.Trail.Log("state_pulled", "kind", s.GetKind(), "peer", addr, "from", k.head, "to", s.GetRevision())
+		v.Trail.Log("state_pulled", "kind", s.GetKind(), "peer", addr, "from", k.head, "to", s.GetRevision(), "objects", len(s.GetObjects()), "complete", s.GetComplete())
 		head := s.GetRevision()
-		v.apply(k.kind, fromWire(s), head, true, addr.String())
+		v.apply(k.kind, fromWire(s), head, s.GetComplete(), addr.String())
 		k.head = max(k.head, head)
 		v.publishKnown()
 	}
@@ -94,7 +98,7 @@
 		a := &wire.PullResponse{}
 		for _, kind := range kinds {
 			if k := s.View.state[kind]; k.synced && k.head > known[string(kind)] {
-				a.States = append(a.States, k.wire())
+				a.States = append(a.States, k.wire(known[string(kind)]))
 			}
 		}
 		out <- a
--- a/gate/process/view/view.go
+++ b/gate/process/view/view.go
@@ -33,6 +33,8 @@
 	// calls. It is less than the time after which a leaving upstream must get no
 	// more work.
 	crowdHold = 1500 * time.Millisecond
+	// leadPeriod is how often a gate that does not watch looks whether it should.
+	leadPeriod = 100 * time.Millisecond
 	// settle is how often holds are looked at.
 	settle = 100 * time.Millisecond
 	// pullPatience is how long a gate waits for its own watch once a peer is
@@ -63,12 +65,19 @@
 	Trail   *trail.Trail
 	// OnChange takes over a new state. It is called by the owner goroutine.
 	OnChange func(State)
+	// Lead reports whether this gate follows the store itself, once it has read
+	// all; the others learn of changes from those that do. nil means that it does.
+	Lead func() bool
+	// OnKnown is called, if it is set, when a later version is known.
+	OnKnown func()
 	// Pull asks the peer at an address for what it knows beyond the request.
 	Pull func(ctx context.Context, addr netip.AddrPort, r *wire.PullRequest) (*wire.PullResponse, error)
 
 	start   sync.Once
 	updates chan func()
-	known   atomic.Pointer[[]*wire.KindRevision]
+	// watching holds for each kind whether its watch goes on without failures.
+	watching [3]atomic.Bool
+	known    atomic.Pointer[[]*wire.KindRevision]
 
 	// The fields below belong to the owner goroutine.
 
@@ -109,8 +118,8 @@
 func (v *View) Run(ctx context.Context) {
 	v.init()
 	var wg sync.WaitGroup
-	for _, k := range kinds {
-		wg.Go(func() { v.follow(ctx, k) })
+	for i, k := range kinds {
+		wg.Go(func() { v.follow(ctx, k, &v.watching[i]) })
 	}
 	tick := time.NewTicker(settle)
 	defer tick.Stop()
@@ -136,13 +145,28 @@
 	}
 }
 
-// follow reads one kind whole and then watches it.
-func (v *View) follow(ctx context.Context, kind core.Kind) {
+// Watching reports whether this gate follows the store itself without failures.
+func (v *View) Watching() bool {
+	for i := range v.watching {
+		if !v.watching[i].Load() {
+			return false
+		}
+	}
+	return true
+}
+
+// follow reads one kind whole and then watches it while this gate leads.
+func (v *View) follow(ctx context.Context, kind core.Kind, watching *atomic.Bool) {
 	var at uint64
 	listed := false
 	backoff := firstBackoff
 	failing := false
 	for ctx.Err() == nil {
+		if listed && v.Lead != nil && !v.Lead() {
+			watching.Store(false)
+			sleep(ctx, leadPeriod)
+			continue
+		}
 		var objects []core.Object
 		var err error
 		whole := !listed
@@ -151,6 +175,7 @@
 			objects, at, err = v.Feed.ListKind(ctx, kind)
 		} else {
 			var next uint64
+			watching.Store(!failing)
 			wait := watchWait - time.Duration(rand.Int64N(int64(watchWait/4)))
 			if objects, next, err = v.Feed.WatchKind(ctx, kind, at, wait); err == nil {
 				at = next
@@ -168,6 +193,7 @@
 				v.Trail.Log("store_lost", "kind", kind, "after", time.Since(start), "error", err)
 			}
 			failing = true
+			watching.Store(false)
 			meter.Event("store_errors")
 			v.do(ctx, func() { v.trouble = time.Now() })
 			sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
@@ -178,6 +204,7 @@
 			v.Trail.Log("store_regained", "kind", kind, "revision", at)
 		}
 		listed, failing, backoff = true, false, firstBackoff
+		watching.Store(true)
 		if whole || len(objects) > 0 {
 			revision := at
 			v.do(ctx, func() { v.apply(kind, objects, revision, whole, "store") })
@@ -196,14 +223,16 @@
 // and otherwise changes.
 func (v *View) apply(kind core.Kind, objects []core.Object, revision uint64, whole bool, source string) {
 	k := v.state[kind]
-	first := !k.synced && whole
+	first, head := !k.synced && whole, k.head
 	var changed []string
 	if whole {
 		changed = k.replace(objects, revision)
 	} else {
 		changed = k.merge(objects)
 	}
-	v.publishKnown()
+	if k.head != head || first {
+		v.publishKnown()
+	}
 	if len(changed) == 0 && !first {
 		return
 	}
@@ -361,6 +390,9 @@
 		list = append(list, &wire.KindRevision{Kind: string(k), Revision: v.state[k].head})
 	}
 	v.known.Store(&list)
+	if v.OnKnown != nil {
+		v.OnKnown()
+	}
 }
 
 // Known returns the versions up to which each kind is known.
--- a/gate/process/view/view_test.go
+++ b/gate/process/view/view_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,10 +50,13 @@
 	return func() bool { return w.last().Upstreams[id] != nil }
 }
 
-func open(srv *meta.Server) *watcher {
+func open(srv *meta.Server) *watcher { return openWith(srv, nil) }
+
+// openWith starts a view that leads as lead says.
+func openWith(srv *meta.Server, lead func() bool) *watcher {
 	store := platform.NewStore(srv.Addr())
 	store.Timeout = 300 * time.Millisecond
-	w := &watcher{View: &View{Feed: store, Decoder: platform.Decoder{}}}
+	w := &watcher{View: &View{Feed: store, Decoder: platform.Decoder{}, Lead: lead}}
 	w.OnChange = func(s State) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -153,6 +157,25 @@
 		Eventually(w.has("a"), "3s").Should(BeFalse())
 	})
 
+	// Guards against a peer that gets all objects for each change, or not the
+	// deletions.
+	It("passes on what a peer lacks", func() {
+		k := &kindState{kind: core.KindPeer, objects: map[string]core.Object{}}
+		object := func(name string, version uint64) core.Object {
+			return core.Object{Key: core.Key{Kind: core.KindPeer, Name: name}, Version: version}
+		}
+		k.replace([]core.Object{object("a", 3), object("b", 4)}, 10)
+		Expect(k.wire(2).GetComplete()).To(BeTrue(), "deletions before the first list are not known")
+		k.merge([]core.Object{object("c", 12), {Key: core.Key{Kind: core.KindPeer, Name: "a"}, Version: 13, Deleted: true}})
+		s := k.wire(12)
+		Expect(s.GetComplete()).To(BeFalse())
+		Expect(s.GetObjects()).To(HaveLen(1))
+		other := &kindState{kind: core.KindPeer, objects: map[string]core.Object{"a": object("a", 3), "b": object("b", 4)}}
+		other.merge(fromWire(k.wire(11)))
+		Expect(other.objects).To(Equal(k.objects))
+		Expect(other.head).To(Equal(k.head))
+	})
+
 	// Guards against living workers that get no work because their entries
 	// lapsed while the store was away.
 	It("keeps upstreams whose entries lapse in an outage", func() {
@@ -194,6 +217,24 @@
 		Eventually(w.has("a"), "1200ms").Should(BeFalse())
 	})
 
+	// Guards against all gates watching the store, and against a gate that does
+	// not when nobody else does.
+	It("watches only while it is to", func() {
+		srv := store()
+		var lead atomic.Bool
+		w := openWith(srv, lead.Load)
+		Eventually(w.version, "2s").Should(BeEquivalentTo(7))
+		Eventually(w.Watching, "2s").Should(BeFalse())
+		time.Sleep(100 * time.Millisecond)
+		calls := srv.Calls()
+		srv.Put("config", "main", config(8))
+		Consistently(w.version, "300ms").Should(BeEquivalentTo(7))
+		Expect(srv.Calls()).To(Equal(calls))
+		lead.Store(true)
+		Eventually(w.version, "2s").Should(BeEquivalentTo(8))
+		Expect(w.Watching()).To(BeTrue())
+	})
+
 	// Guards against a gate that the store turns away and that does not learn
 	// from the others.
 	It("takes later states from a peer", func() {
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -132,10 +132,12 @@
 	g.view = &view.View{
 		Feed: g.store, Decoder: platform.Decoder{}, Trail: g.Trail,
 		OnChange: g.offer, Pull: pull,
+		Lead:    func() bool { return g.gossip.Leads() },
+		OnKnown: func() { g.gossip.Announce() },
 	}
 	g.gossip = &gossip.Gossip{
 		Listen: s.Peers, Seeds: s.Seeds, Instance: s.Instance, Zone: s.Zone, Incarnation: start.Incarnation(),
-		Trail: g.Trail, Load: g.fleet.Loads, Known: g.view.Known, Leaving: g.draining.Load,
+		Trail: g.Trail, Load: g.fleet.Loads, Known: g.view.Known, Leaving: g.draining.Load, Watching: g.view.Watching,
 		OnBeat: func(addr netip.AddrPort, b *wire.Beat) { g.view.Heard(base, addr, b.GetKnown()) },
 	}
 	g.relay = &relay.Relay{
