--- a/gate/process/ranks/model_test.go
+++ b/gate/process/ranks/model_test.go
@@ -20,16 +20,15 @@
 // sim is a group of ranks that run passes together. Orders to it may lose their
 // answer, before or after they take effect, or take effect late.
 type sim struct {
-	mu      sync.Mutex
-	rng     *rand.Rand
-	ranks   []*simRank
-	epoch   uint64
-	step    uint64
-	late    []lateOrder
-	loss    float64
-	broken  string
-	passes  int
-	stopped bool
+	mu     sync.Mutex
+	rng    *rand.Rand
+	ranks  []*simRank
+	epoch  uint64
+	step   uint64
+	late   []lateOrder
+	loss   float64
+	broken string
+	passes int
 }
 
 type simRank struct {
