Lead on while the store is away; follow a silent leader; read logs by request

Change: where ranks refuse outdated tokens, the last holder leads until it learns of another one; a holder whose instance is silent for 0.7 s while others are heard is not waited for.

--- a/core/process/lease/ended_test.go
+++ b/core/process/lease/ended_test.go
@@ -7,6 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/gravitational/trace"
+
+	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/lease"
 	"parsleyroute.example/core/suite/memory"
 )
@@ -16,7 +19,7 @@
 // against a contender that does not know the token in force.
 func TestEndedHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &memory.Store{}
+		store := &memory.Store{Before: func(context.Context, memory.Op, core.Key) error { return nil }}
 		first := &lease.Lease{Store: store, Name: "ranks", Holder: "a/1", TTL: ttl, Renew: time.Second}
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -45,9 +48,20 @@
 		}
 		ended.Store(true)
 		time.Sleep(1500 * time.Millisecond)
+		if last, ok := first.Last(); ok {
+			t.Fatalf("a former holder goes on under token %d", last)
+		}
 		if next, ok := second.Held(); !ok || next <= token {
 			t.Fatalf("the lease was not taken over: token %d after %d", next, token)
 		}
+		// In an outage nobody holds the lease, and the last holder can tell that
+		// it is the last.
+		store.Before = func(context.Context, memory.Op, core.Key) error { return trace.ConnectionProblem(nil, "down") }
+		time.Sleep(2 * ttl)
+		next, ok := second.Last()
+		if _, held := second.Held(); held || !ok || next <= token {
+			t.Fatalf("in an outage: held %t, last token %d %t", held, next, ok)
+		}
 		stop()
 		stop2()
 		<-done
--- a/core/process/lease/lease.go
+++ b/core/process/lease/lease.go
@@ -86,6 +86,17 @@
 	return t.token, true
 }
 
+// Last returns the token of the last term of this process if no other process
+// is known to have taken the lease since, also after the term has lapsed. It
+// gives no exclusion: it is for holders whose work is fenced by the token.
+func (l *Lease) Last() (token uint64, ok bool) {
+	t := l.term.Load()
+	if t == nil {
+		return 0, false
+	}
+	return t.token, true
+}
+
 // Seen returns the token of the last term that this process has read of or
 // held, zero if there is none.
 func (l *Lease) Seen() uint64 { return l.seen.Load() }
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -301,17 +301,33 @@
 	return below < n
 }
 
-// Present returns the incarnation that runs on an instance now, if it was heard
-// lately.
-func (g *Gossip) Present(instance string) (incarnation uint64, ok bool) {
+// silentAfter is the time without a beat after which an instance that was heard
+// before counts as silent, while others are heard.
+const silentAfter = 700 * time.Millisecond
+
+// Present returns the incarnation that ran on an instance when it was last
+// heard, and whether it has been silent since while others were heard.
+func (g *Gossip) Present(instance string) (incarnation uint64, known, silent bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	var last *peer
+	others := false
 	for _, p := range g.peers {
-		if !p.lost && p.beat.GetInstance() == instance {
-			return p.beat.GetIncarnation(), true
+		switch {
+		case p.beat == nil:
+		case p.beat.GetInstance() == instance:
+			if last == nil || p.heard.After(last.heard) {
+				last = p
+			}
+		case now.Sub(p.heard) < silentAfter:
+			others = true
 		}
 	}
-	return 0, false
+	if last == nil {
+		return 0, false, false
+	}
+	return last.beat.GetIncarnation(), true, others && now.Sub(last.heard) > silentAfter
 }
 
 const (
--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -45,8 +45,9 @@
 	c, _ := node(t, "ccc", nil, a.Listen, netip.MustParseAddrPort("127.0.0.1:1"))
 	g.Eventually(func() map[uint64]int { return c.Remote() }, "3s").Should(Equal(map[uint64]int{1: 5, 2: 1}))
 	g.Eventually(func() map[uint64]int { return a.Remote() }, "3s").Should(Equal(map[uint64]int{1: 3, 2: 1}))
-	incarnation, ok := c.Present("bb")
-	g.Expect(ok).To(BeTrue())
+	incarnation, known, silent := c.Present("bb")
+	g.Expect(known).To(BeTrue())
+	g.Expect(silent).To(BeFalse())
 	g.Expect(incarnation).To(BeEquivalentTo(2))
 	first := 0
 	for _, n := range []*gossip.Gossip{a, b, c} {
@@ -67,5 +68,5 @@
 	stopB()
 	g.Eventually(func() map[uint64]int { return c.Remote() }, "3s").Should(Equal(map[uint64]int{1: 2}))
 	g.Expect(c.Gates()).To(Equal(3), "a silent gate may still be sending")
-	g.Eventually(func() bool { _, ok := c.Present("bb"); return ok }, "4s").Should(BeFalse())
+	g.Eventually(func() bool { _, _, silent := c.Present("bb"); return silent }, "4s").Should(BeTrue())
 }
--- a/gate/process/ranks/leader.go
+++ b/gate/process/ranks/leader.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/lease"
 	"parsleyroute.example/core/process/meter"
@@ -34,6 +36,9 @@
 	Trail  *trail.Trail
 	// Holder names this process among the contenders.
 	Holder string
+	// Fenced is set if the ranks refuse orders with an outdated token. A leader
+	// then goes on while nobody can reach the store.
+	Fenced bool
 	// Ended reports whether another contender's process is known to have ended.
 	Ended func(holder string) bool
 	// Contends reports whether this gate contends for the lease now.
@@ -42,6 +47,8 @@
 	specs atomic.Pointer[map[string]*Spec]
 	lease atomic.Pointer[lease.Lease]
 	nonce uint64
+	// refused is the highest token that a rank has refused as outdated.
+	refused atomic.Uint64
 }
 
 // Update takes over the groups.
@@ -91,6 +98,9 @@
 				defer flag.Store(false)
 				if err := g.round(ctx); err != nil {
 					meter.Event("rank_round_errors")
+					if trace.IsAccessDenied(err) {
+						l.refused.Store(max(l.refused.Load(), token))
+					}
 					l.Trail.Log("round_failed", "group", name, "epoch", g.epoch, "token", token, "error", err)
 				}
 			})
@@ -102,12 +112,23 @@
 	return &group{ranks: l.Ranks, direct: l.Direct, trail: l.Trail, token: token, nonce: l.nonce}
 }
 
-// held returns the token of the lease, zero if it is not held.
+// held returns the token under which this process leads, zero if it does not.
+// Beyond the end of its term a leader goes on until it learns of another one,
+// from the store or by a refusal: nobody can get the lease while the store is
+// away, and a successor's first order shuts the former leader out.
 func (l *Leader) held() (uint64, bool) {
-	if t := l.lease.Load(); t != nil {
-		return t.Held()
+	t := l.lease.Load()
+	if t == nil {
+		return 0, false
+	}
+	token, ok := t.Held()
+	if !ok && l.Fenced {
+		token, ok = t.Last()
+	}
+	if !ok || token <= l.refused.Load() {
+		return 0, false
 	}
-	return 0, false
+	return token, true
 }
 
 // contend runs the lease while this gate contends for it.
@@ -127,7 +148,7 @@
 				l.Trail.Log("lease_failed", "error", err)
 			}
 		}()
-		for ctx.Err() == nil && (l.Contends() || isHeld(t)) {
+		for ctx.Err() == nil && (l.Contends() || l.leads()) {
 			sleep(ctx, leaseRenew)
 		}
 		cancel()
@@ -135,7 +156,7 @@
 	}
 }
 
-func isHeld(t *lease.Lease) bool {
-	_, ok := t.Held()
+func (l *Leader) leads() bool {
+	_, ok := l.held()
 	return ok
 }
--- a/gate/process/ranks/recover.go
+++ b/gate/process/ranks/recover.go
@@ -64,6 +64,8 @@
 		err := g.armAll(ctx, u.version, u.step)
 		switch {
 		case err == nil:
+		case trace.IsCompareFailed(err) && g.passed(ctx, u):
+			// Another leader has ended it meanwhile.
 		case trace.IsCompareFailed(err) && g.impossible(ctx, u):
 			complete = false
 		default:
@@ -94,6 +96,12 @@
 	return nil
 }
 
+// passed reports whether the group has begun the pass of the switch.
+func (g *group) passed(ctx context.Context, u *unfinished) bool {
+	r, err := g.report(ctx, holder, false)
+	return err == nil && (r.Epoch != g.epoch || r.Step >= u.step)
+}
+
 // impossible reports whether some rank is not armed and does not have the
 // version prepared, so that it can never be armed with it.
 func (g *group) impossible(ctx context.Context, u *unfinished) bool {
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -150,7 +150,7 @@
 	g.leader = &ranks.Leader{
 		Ranks: g.ranks, Direct: workers,
 		Store: g.store, Trail: g.Trail, Holder: holder(s.Instance, g.gossip.Incarnation),
-		Ended:    g.ended,
+		Fenced: s.Fenced, Ended: g.ended,
 		Contends: func() bool { return !g.draining.Load() && g.gossip.First(contenders) },
 	}
 	g.leader.Update(nil)
@@ -170,15 +170,16 @@
 	return fmt.Sprintf("%s/%x", instance, incarnation)
 }
 
-// ended reports whether a contender has been replaced by a later process on its
-// instance.
+// ended reports whether a contender need not be waited for: a later process runs
+// on its instance, or it is silent while others are heard. If it lives, the
+// ranks refuse its orders from then on.
 func (g *Gate) ended(other string) bool {
 	instance, _, _ := strings.Cut(other, "/")
 	if instance == g.Settings.Instance {
 		return other != holder(instance, g.gossip.Incarnation)
 	}
-	incarnation, ok := g.gossip.Present(instance)
-	return ok && other != holder(instance, incarnation)
+	incarnation, known, silent := g.gossip.Present(instance)
+	return known && (silent && g.Settings.Fenced || other != holder(instance, incarnation))
 }
 
 // offer hands a state to the control goroutine. Only the newest counts.
--- a/gate/serve/settings.go
+++ b/gate/serve/settings.go
@@ -23,6 +23,8 @@
 	// Ranks is the port of the processes beside the ranks of groups; zero if
 	// there are none.
 	Ranks uint16 `toml:"ranks"`
+	// Fenced is set if the ranks refuse orders with an outdated fencing token.
+	Fenced bool `toml:"fenced"`
 	// Seeds are the addresses of gates to begin with; some may be gone.
 	Seeds []netip.AddrPort `toml:"seeds"`
 	// Store is the address of the platform's store.
--- a/parsley/cmds/root.go
+++ b/parsley/cmds/root.go
@@ -84,6 +84,7 @@
 		p.applyCmd(), p.diffCmd(), p.checkCmd(),
 		p.getCmd(), p.deleteCmd(), p.selectCmd(),
 		p.zoneCmd(), p.drainCmd(), p.statusCmd(), p.explainCmd(),
+		p.traceCmd(), p.timelineCmd(),
 	)
 	return root
 }
@@ -136,7 +137,7 @@
 // offline reports whether the command needs no settings, so that it works with
 // broken ones.
 func offline(cmd *cobra.Command) bool {
-	return cmd.Name() == "check" || cmd.Name() == "help" ||
+	return lo.Contains([]string{"check", "trace", "timeline"}, cmd.Name()) || cmd.Name() == "help" ||
 		cmd.HasParent() && cmd.Parent().Name() == "completion"
 }
 
