Add a fault soak of real gates

Three gate processes before scripted workers, the store's stand-in and the loopback proxy, under signals, store faults, cut and frozen links and bad workers. It checks answers, at most once, refusals, streams, shutdown, changes and recovery. Two seeds of 8 s run in the check; SOAK_SEEDS and SOAK_SECONDS run more.

--- /dev/null
+++ b/fakes/soak/soak_test.go
@@ -0,0 +1,327 @@
+package soak_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"parsleyroute.example/fakes/process/meta"
+	"parsleyroute.example/fakes/process/proxy"
+	"parsleyroute.example/fakes/process/worker"
+)
+
+// failedSeeds lists the seeds that ever failed, with the cause.
+var failedSeeds = []uint64{}
+
+const (
+	defaultSeeds   = 2
+	defaultSeconds = 8
+	callers        = 8
+	// recovery is the time after the last fault within which requests are served
+	// again.
+	recovery = 12 * time.Second
+	// calmTime is how long the store and a gate must have been calm before the
+	// gate is bound by applyTime and leaving workers by it.
+	calmTime  = 3 * time.Second
+	applyTime = 2500 * time.Millisecond
+)
+
+func number(name string, def int) int {
+	n, err := strconv.Atoi(os.Getenv(name))
+	if err != nil {
+		return def
+	}
+	return n
+}
+
+// TestSoak guards the promises to callers and workers under random faults: an
+// answer is the worker's own and whole, an unsafe request runs at most once, a
+// refusal that says that nothing ran is true, streams have no gap, requests in
+// flight survive SIGTERM, no gate ends by itself, changes get in force, and
+// service comes back.
+func TestSoak(t *testing.T) {
+	seeds := append([]uint64{}, failedSeeds...)
+	from := uint64(number("SOAK_FROM", 1))
+	for i := range number("SOAK_SEEDS", defaultSeeds) {
+		seeds = append(seeds, from+uint64(i))
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { run(t, seed) })
+	}
+}
+
+func run(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	s := start(t, rng)
+	s.await(t, 5*time.Second)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(heartbeat):
+				s.beat()
+			}
+		}
+	})
+	for i := range callers {
+		r := rand.New(rand.NewPCG(seed, uint64(100+i)))
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+					s.call(r, fmt.Sprintf("%d-%d-%d", seed, i, n))
+				}
+			}
+		})
+	}
+	end := time.Now().Add(time.Duration(number("SOAK_SECONDS", defaultSeconds)) * time.Second)
+	for time.Now().Before(end) {
+		s.fault(rng)
+		time.Sleep(time.Duration(100+rng.IntN(500)) * time.Millisecond)
+	}
+	s.heal()
+	s.await(t, recovery)
+	s.change(t)
+	close(stop)
+	wg.Wait()
+	s.checks.mu.Lock()
+	defer s.checks.mu.Unlock()
+	t.Logf("seed %d: %d requests, %d served", seed, s.checks.tried.Load(), s.checks.served.Load())
+	for _, b := range s.checks.broken {
+		t.Error(b)
+	}
+	if t.Failed() {
+		keep, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+		if err == nil {
+			_ = os.CopyFS(keep, os.DirFS(s.dir))
+		}
+		t.Logf("the gates' logs are in %s", keep)
+	}
+}
+
+// fault brings about one random fault, or ends one.
+func (s *system) fault(rng *rand.Rand) {
+	g := s.gates[rng.IntN(len(s.gates))]
+	b := s.workers[rng.IntN(len(s.workers))]
+	switch rng.IntN(12) {
+	case 0:
+		s.stopGate(g, syscall.SIGTERM, rng.IntN(3) == 0)
+	case 1:
+		g.touched()
+		g.end()
+		g.run(s.t, s.dir)
+	case 2:
+		g.touched()
+		g.signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+		g.signal(syscall.SIGCONT)
+		g.touched()
+	case 3:
+		g.signal(syscall.SIGHUP)
+	case 4:
+		s.setStore([]meta.Faults{{Status: 503}, {Silent: true}, {LoseWrites: true}, {Status: 429}}[rng.IntN(4)])
+	case 5, 6:
+		s.setStore(meta.Faults{})
+	case 7:
+		s.store.Forget()
+	case 8:
+		s.faults.level.Store(int64(rng.IntN(300)))
+	case 9:
+		f := []proxy.Fault{{Cut: true}, {Freeze: proxy.FreezeToTarget}, {Freeze: proxy.FreezeToClient}, {DelayMs: 200}, {HalfOpen: true}}[rng.IntN(5)]
+		s.link(b, f)
+	case 10:
+		s.link(b, proxy.Fault{})
+	case 11:
+		s.configure("/a/", fmt.Sprintf("/x%d/", rng.IntN(3)))
+	}
+}
+
+func (s *system) link(b *backend, f proxy.Fault) {
+	if err := s.proxy.Set(b.link, func(p *proxy.Fault) error { *p = f; return nil }); err != nil {
+		s.t.Error(err)
+	}
+}
+
+func (s *system) setStore(f meta.Faults) {
+	s.store.Set(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeCalm = time.Time{}
+	if f == (meta.Faults{}) {
+		s.storeCalm = time.Now()
+	}
+}
+
+// stopGate ends a gate as the platform does and starts it again.
+func (s *system) stopGate(g *gate, sig syscall.Signal, again bool) {
+	g.touched()
+	g.signal(sig)
+	if again {
+		g.signal(sig)
+	}
+	select {
+	case <-g.done:
+	case <-time.After(grace + time.Second):
+		s.checks.fail("%s had not ended %s after SIGTERM", g.name, grace)
+		g.end()
+	}
+	if code := g.cmd.ProcessState.ExitCode(); code != 0 {
+		s.checks.fail("%s ended with code %d", g.name, code)
+	}
+	g.run(s.t, s.dir)
+}
+
+// heal ends all faults.
+func (s *system) heal() {
+	s.faults.level.Store(0)
+	for _, b := range s.workers {
+		s.link(b, proxy.Fault{})
+	}
+	s.setStore(meta.Faults{})
+	for _, g := range s.gates {
+		g.signal(syscall.SIGCONT)
+		if !g.running() {
+			s.checks.fail("%s has ended by itself", g.name)
+			g.run(s.t, s.dir)
+		}
+	}
+}
+
+// await waits until each gate is ready and serves each kind of request.
+func (s *system) await(t *testing.T, d time.Duration) {
+	t.Helper()
+	deadline := time.Now().Add(d)
+	for i, g := range s.gates {
+		for n := 0; ; n++ {
+			r, err := http.Get("http://" + g.ready.String() + "/-/readyz")
+			if err == nil {
+				_ = r.Body.Close()
+			}
+			if err == nil && r.StatusCode == 200 && s.serves(g, "safe", i, n) && s.serves(g, "streaming", i, n) && s.serves(g, "unsafe", i, n) {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("%s does not serve %s after the last fault", g.name, d)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func (s *system) serves(g *gate, kind string, i, n int) bool {
+	status, _, err := s.send(g, kind, "/a/", fmt.Sprintf("await-%d-%d-%d-%s", time.Now().UnixNano(), i, n, kind))
+	return err == nil && status == 200
+}
+
+// change checks that a removed route and a leaving worker get no more requests.
+func (s *system) change(t *testing.T) {
+	t.Helper()
+	time.Sleep(calmTime)
+	s.configure("/b/")
+	leaving := s.workers[0]
+	leaving.mu.Lock()
+	leaving.draining = time.Now()
+	leaving.mu.Unlock()
+	s.beat()
+	time.Sleep(applyTime)
+	for _, g := range s.gates {
+		if status, _, err := s.send(g, "safe", "/a/", "removed-"+g.name); err != nil || status != 404 {
+			t.Errorf("%s answers a removed route with %d, %v", g.name, status, err)
+		}
+		if status, _, err := s.send(g, "safe", "/b/", "added-"+g.name); err != nil || status != 200 {
+			t.Errorf("%s answers a new route with %d, %v", g.name, status, err)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+}
+
+// send sends one request and reads the answer whole.
+func (s *system) send(g *gate, kind, prefix, attempt string) (int, string, error) {
+	c, err := net.DialTimeout("tcp", g.callers.String(), time.Second)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	method := map[string]string{"safe": "GET", "unsafe": "POST", "streaming": "POST"}[kind]
+	request := fmt.Sprintf("%s %s%s/x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 3000\r\n", method, prefix, kind, worker.HeaderAttempt, attempt, worker.HeaderDeadline)
+	if method == "POST" {
+		request += "Content-Length: 4\r\n\r\nbody"
+	} else {
+		request += "\r\n"
+	}
+	if _, err := io.WriteString(c, request); err != nil {
+		return 0, "", err
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	body, err := io.ReadAll(r.Body)
+	if err == nil && r.StatusCode == 200 && (r.Header.Get(worker.HeaderAttempt) != attempt || r.Header.Get(worker.HeaderSignature) == "") {
+		s.checks.fail("request %s got the answer of %q, signature %q", attempt, r.Header.Get(worker.HeaderAttempt), r.Header.Get(worker.HeaderSignature))
+	}
+	return r.StatusCode, string(body), err
+}
+
+// call sends one request of a random kind and checks what becomes of it.
+func (s *system) call(rng *rand.Rand, attempt string) {
+	kind := []string{"safe", "unsafe", "streaming", "streaming"}[rng.IntN(4)]
+	g := s.gates[rng.IntN(len(s.gates))]
+	s.checks.tried.Add(1)
+	status, body, err := s.send(g, kind, "/a/", attempt)
+	switch {
+	case err == nil && status == 200:
+		s.checks.served.Add(1)
+		s.whole(kind, attempt, body)
+	case err == nil && (status == 503 || status == 429 || status == 408) && kind == "unsafe":
+		// The promise is for good: look again once a late copy would have come.
+		time.AfterFunc(2*time.Second, func() {
+			if n := s.checks.runsOf(attempt); n > 0 {
+				s.checks.fail("request %s was refused with %d and ran %d times", attempt, status, n)
+			}
+		})
+	}
+	if kind == "unsafe" {
+		if n := s.checks.runsOf(attempt); n > 1 {
+			s.checks.fail("unsafe request %s ran %d times", attempt, n)
+		}
+	}
+	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+}
+
+// whole checks that a success is complete.
+func (s *system) whole(kind, attempt, body string) {
+	if kind != "streaming" {
+		if body != "ran "+attempt {
+			s.checks.fail("request %s got the body %q", attempt, body)
+		}
+		return
+	}
+	var want strings.Builder
+	for i := 1; i <= events; i++ {
+		fmt.Fprintf(&want, "id: %d\ndata: e%d\n\n", i, i)
+	}
+	if body != want.String() {
+		s.checks.fail("stream %s ended as complete with %q", attempt, body)
+	}
+}
--- /dev/null
+++ b/fakes/soak/system_test.go
@@ -0,0 +1,236 @@
+package soak_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"parsleyroute.example/fakes/process/meta"
+	"parsleyroute.example/fakes/process/proxy"
+	"parsleyroute.example/fakes/process/worker"
+)
+
+const (
+	gates   = 3
+	workers = 4
+	// grace is the time that the gates have to end.
+	grace = 4 * time.Second
+	// heartbeat is the time between a worker's writes of its entry.
+	heartbeat = 400 * time.Millisecond
+)
+
+// gate is one gate process and its addresses.
+type gate struct {
+	name                           string
+	callers, ready, peers, metrics netip.AddrPort
+	settings                       string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	// calm is since when the process has run without a fault of its own.
+	calm time.Time
+}
+
+// system is the gates, the store and the workers of one run.
+type system struct {
+	t       *testing.T
+	dir     string
+	store   *meta.Server
+	proxy   *proxy.Server
+	workers []*backend
+	gates   []*gate
+	checks  *checks
+	faults  *faultLevel
+
+	mu sync.Mutex
+	// storeCalm is since when the store has answered; zero while it does not.
+	storeCalm time.Time
+	version   int
+	routes    map[string]time.Time // removed routes, by when that was acknowledged
+}
+
+// backend is a worker behind a link of the proxy.
+type backend struct {
+	*worker.Worker
+	link string
+	addr netip.AddrPort
+	pool string
+
+	mu       sync.Mutex
+	sequence int
+	draining time.Time
+}
+
+// free returns a loopback address that is not in use.
+func free(t *testing.T) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func start(t *testing.T, rng *rand.Rand) *system {
+	t.Helper()
+	s := &system{t: t, dir: t.TempDir(), store: &meta.Server{}, checks: newChecks(), faults: &faultLevel{}, routes: map[string]time.Time{}, storeCalm: time.Now()}
+	if err := s.store.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.store.Close)
+	s.proxy = &proxy.Server{Listen: free(t)}
+	if err := s.proxy.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.proxy.Close() })
+	for i := range workers {
+		b := &backend{Worker: &worker.Worker{ID: fmt.Sprintf("i-%d", i)}, link: fmt.Sprintf("link-%d", i), addr: free(t), pool: []string{"desk", "model"}[i%2]}
+		b.Script = s.faults.script(rand.New(rand.NewPCG(rng.Uint64(), 1)), s.checks, b)
+		if err := b.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(b.Close)
+		if _, err := s.proxy.Add(proxy.Pair{Name: b.link, Listen: b.addr, Target: b.Addr()}); err != nil {
+			t.Fatal(err)
+		}
+		s.workers = append(s.workers, b)
+	}
+	s.configure("/a/")
+	s.beat()
+	seeds := []netip.AddrPort{}
+	for i := range gates {
+		g := &gate{name: fmt.Sprintf("gate-%d", i), callers: free(t), ready: free(t), peers: free(t), metrics: free(t)}
+		g.settings = filepath.Join(s.dir, g.name+".toml")
+		s.gates = append(s.gates, g)
+		seeds = append(seeds, g.peers)
+	}
+	for _, g := range s.gates {
+		s.write(g, seeds)
+		g.run(t, s.dir)
+		t.Cleanup(func() { g.end() })
+	}
+	return s
+}
+
+func (s *system) write(g *gate, seeds []netip.AddrPort) {
+	text := fmt.Sprintf("instance = %q\nzone = \"z\"\ncallers = %q\nready = %q\npeers = %q\nmetrics = %q\nstore = %q\ngrace = %q\nseeds = [",
+		g.name, g.callers, g.ready, g.peers, g.metrics, s.store.Addr(), grace)
+	for i, a := range seeds {
+		if i > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("%q", a)
+	}
+	text += "]\n[retry]\nratio = 0.2\nburst = 40.0\nwindow = \"10s\"\n[cold]\novershoot = 1.5\nslack = 5.0\n"
+	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// configure writes a configuration whose routes are those with the prefixes.
+func (s *system) configure(prefixes ...string) {
+	s.mu.Lock()
+	s.version += 2
+	version := s.version
+	s.mu.Unlock()
+	routes := []map[string]any{}
+	for _, p := range prefixes {
+		for _, r := range []struct{ kind, pool string }{{"safe", "desk"}, {"unsafe", "desk"}, {"streaming", "model"}} {
+			routes = append(routes, map[string]any{
+				"name": p + r.kind, "hostname": "h", "path_prefix": p + r.kind + "/", "type": r.kind, "stream_resume": true,
+				"timeout_ms": 3000, "slo_ms": 300, "gap_aim_ms": 200, "backend": r.pool, "max_attempts": 2,
+			})
+		}
+	}
+	s.store.Put("config", "main", map[string]any{
+		"version": version, "routes": routes, "backends": []map[string]any{{"name": "desk"}, {"name": "model"}},
+		"limits": map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1 << 20, "header_timeout_ms": 2000, "idle_timeout_ms": 5000},
+	})
+}
+
+// beat writes the entries of all workers.
+func (s *system) beat() {
+	for _, b := range s.workers {
+		b.mu.Lock()
+		b.sequence++
+		state := "ready"
+		if !b.draining.IsZero() {
+			state = "draining"
+		}
+		spec := map[string]any{"backend": b.pool, "address": b.addr.String(), "zone": "z", "state": state, "slots": 8, "sequence": b.sequence, "born": 1}
+		b.mu.Unlock()
+		s.store.Put("servers", b.ID, spec)
+	}
+}
+
+func (g *gate) run(t *testing.T, dir string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	bin, err := filepath.Abs("../../.out/bin/gate")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.OpenFile(filepath.Join(dir, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.cmd = exec.Command(bin, "--settings", g.settings)
+	g.cmd.Stdout, g.cmd.Stderr = log, log
+	if err := g.cmd.Start(); err != nil {
+		t.Fatalf("run scripts/build.sh first: %v", err)
+	}
+	g.done, g.calm = make(chan struct{}), time.Now()
+	go func(cmd *exec.Cmd, done chan struct{}) { _ = cmd.Wait(); _ = log.Close(); close(done) }(g.cmd, g.done)
+}
+
+// signal sends a signal to the process, if it runs.
+func (g *gate) signal(sig syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.done:
+	default:
+		_ = g.cmd.Process.Signal(sig)
+	}
+}
+
+// touched takes note that the gate has just had a fault of its own.
+func (g *gate) touched() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.calm = time.Now()
+}
+
+// calmSince returns since when the gate has had no fault of its own.
+func (g *gate) calmSince() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.calm
+}
+
+func (g *gate) running() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// end kills the process, also if it is stopped, and waits for it.
+func (g *gate) end() {
+	g.signal(syscall.SIGKILL)
+	<-g.done
+}
