Ask a group without events before sending it more

Change: a stream lost while its pool has had no event for 0.7 s marks the group down until a member says that it runs.

--- a/gate/process/fleet/groups.go
+++ b/gate/process/fleet/groups.go
@@ -30,6 +30,15 @@
 	f.setDown(now, g, "refusal", culprit)
 }
 
+// GroupSuspect takes note that a group may run no passes: the stream of a member
+// was lost and none of its pool has had an event lately. Until a member says
+// that the group runs, it gets no requests.
+func (f *Fleet) GroupSuspect(now time.Time, u *Upstream) {
+	if g := u.Peer().Group; g.Name != "" {
+		f.setDown(now, g, "lost_stream", u.ID)
+	}
+}
+
 func (f *Fleet) setDown(now time.Time, g core.PeerGroup, source, culprit string) {
 	f.groups.mu.Lock()
 	defer f.groups.mu.Unlock()
--- a/gate/request/relay/attempt.go
+++ b/gate/request/relay/attempt.go
@@ -23,6 +23,10 @@
 	// staleAnswers bounds the answers to earlier requests that are skipped on
 	// one connection.
 	staleAnswers = 4
+	// stalledAfter is the time without an event of any stream of a pool after
+	// which a lost stream is taken for its group's failure: passes take a tenth
+	// of that.
+	stalledAfter = 700 * time.Millisecond
 	// copySize is the size of the parts in which a longer answer is passed on.
 	copySize = 16 << 10
 )
@@ -83,6 +87,9 @@
 		res.outcome = fleet.Neutral
 	}
 	u.End(time.Now(), res.outcome)
+	if res.verdict == verdictLost && t.route.Kind == core.RouteStream && t.state.pulse.since() > stalledAfter {
+		t.r.Picker.Fleet.GroupSuspect(time.Now(), u)
+	}
 	if res.verdict != verdictDone {
 		fields := []any{"upstream", u.ID, "verdict", string(res.verdict.reason()), "took", time.Since(began), "load", u.Load(), "last_event", t.stream.last}
 		if res.err != nil {
