--- a/fakes/soak/soak_test.go
+++ b/fakes/soak/soak_test.go
@@ -64,7 +64,8 @@
 func run(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	s := start(t, rng)
-	s.await(t, 5*time.Second)
+	defer s.keepLogs(t, seed)
+	s.await(t, recovery)
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	wg.Go(func() {
@@ -106,13 +107,18 @@
 	for _, b := range s.checks.broken {
 		t.Error(b)
 	}
-	if t.Failed() {
-		keep, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
-		if err == nil {
-			_ = os.CopyFS(keep, os.DirFS(s.dir))
-		}
-		t.Logf("the gates' logs are in %s", keep)
+}
+
+// keepLogs copies the gates' logs of a run that failed.
+func (s *system) keepLogs(t *testing.T, seed uint64) {
+	if !t.Failed() {
+		return
+	}
+	keep, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	if err == nil {
+		err = os.CopyFS(keep, os.DirFS(s.dir))
 	}
+	t.Logf("the gates' logs are in %s (%v)", keep, err)
 }
 
 // fault brings about one random fault, or ends one.
--- a/fakes/soak/system_test.go
+++ b/fakes/soak/system_test.go
@@ -70,15 +70,30 @@
 	draining time.Time
 }
 
+// ports hands out loopback ports below the ephemeral range, so that outgoing
+// connections and soaks that run side by side do not take them.
+var ports = struct {
+	sync.Mutex
+	next int
+}{next: 10000 + os.Getpid()%200*100}
+
 // free returns a loopback address that is not in use.
 func free(t *testing.T) netip.AddrPort {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	ports.Lock()
+	defer ports.Unlock()
+	for range 1000 {
+		if ports.next++; ports.next >= 32000 {
+			ports.next = 10000
+		}
+		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(ports.next))
+		if ln, err := net.Listen("tcp", addr.String()); err == nil {
+			_ = ln.Close()
+			return addr
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 func start(t *testing.T, rng *rand.Rand) *system {
