--- a/fakes/soak/soak_test.go
+++ b/fakes/soak/soak_test.go
@@ -129,21 +129,18 @@
 	case 0:
 		s.stopGate(g, syscall.SIGTERM, rng.IntN(3) == 0)
 	case 1:
-		g.touched()
 		g.end()
 		g.run(s.t, s.dir)
 	case 2:
-		g.touched()
 		g.signal(syscall.SIGSTOP)
 		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
 		g.signal(syscall.SIGCONT)
-		g.touched()
 	case 3:
 		g.signal(syscall.SIGHUP)
 	case 4:
-		s.setStore([]meta.Faults{{Status: 503}, {Silent: true}, {LoseWrites: true}, {Status: 429}}[rng.IntN(4)])
+		s.store.Set([]meta.Faults{{Status: 503}, {Silent: true}, {LoseWrites: true}, {Status: 429}}[rng.IntN(4)])
 	case 5, 6:
-		s.setStore(meta.Faults{})
+		s.store.Set(meta.Faults{})
 	case 7:
 		s.store.Forget()
 	case 8:
@@ -164,19 +161,8 @@
 	}
 }
 
-func (s *system) setStore(f meta.Faults) {
-	s.store.Set(f)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.storeCalm = time.Time{}
-	if f == (meta.Faults{}) {
-		s.storeCalm = time.Now()
-	}
-}
-
 // stopGate ends a gate as the platform does and starts it again.
 func (s *system) stopGate(g *gate, sig syscall.Signal, again bool) {
-	g.touched()
 	g.signal(sig)
 	if again {
 		g.signal(sig)
@@ -199,7 +185,7 @@
 	for _, b := range s.workers {
 		s.link(b, proxy.Fault{})
 	}
-	s.setStore(meta.Faults{})
+	s.store.Set(meta.Faults{})
 	for _, g := range s.gates {
 		g.signal(syscall.SIGCONT)
 		if !g.running() {
--- a/fakes/soak/system_test.go
+++ b/fakes/soak/system_test.go
@@ -36,8 +36,6 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
-	// calm is since when the process has run without a fault of its own.
-	calm time.Time
 }
 
 // system is the gates, the store and the workers of one run.
@@ -51,11 +49,8 @@
 	checks  *checks
 	faults  *faultLevel
 
-	mu sync.Mutex
-	// storeCalm is since when the store has answered; zero while it does not.
-	storeCalm time.Time
-	version   int
-	routes    map[string]time.Time // removed routes, by when that was acknowledged
+	mu      sync.Mutex
+	version int
 }
 
 // backend is a worker behind a link of the proxy.
@@ -98,7 +93,7 @@
 
 func start(t *testing.T, rng *rand.Rand) *system {
 	t.Helper()
-	s := &system{t: t, dir: t.TempDir(), store: &meta.Server{}, checks: newChecks(), faults: &faultLevel{}, routes: map[string]time.Time{}, storeCalm: time.Now()}
+	s := &system{t: t, dir: t.TempDir(), store: &meta.Server{}, checks: newChecks(), faults: &faultLevel{}}
 	if err := s.store.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -204,7 +199,7 @@
 	if err := g.cmd.Start(); err != nil {
 		t.Fatalf("run scripts/build.sh first: %v", err)
 	}
-	g.done, g.calm = make(chan struct{}), time.Now()
+	g.done = make(chan struct{})
 	go func(cmd *exec.Cmd, done chan struct{}) { _ = cmd.Wait(); _ = log.Close(); close(done) }(g.cmd, g.done)
 }
 
@@ -219,20 +214,6 @@
 	}
 }
 
-// touched takes note that the gate has just had a fault of its own.
-func (g *gate) touched() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.calm = time.Now()
-}
-
-// calmSince returns since when the gate has had no fault of its own.
-func (g *gate) calmSince() time.Time {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.calm
-}
-
 func (g *gate) running() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
