Keep the processes beside ranks in use when orders are lost; scale the cost of a copy

Plans for 63 ranks ended at a skew of 1.5, since the cost of a copy was measured against one rank's load.

Change: only a status that is not answered in time, or a refused connection, makes such a process absent; counts are not read from afar; the cost of a copy is a part of the load of all ranks.

--- a/core/process/beside/beside_test.go
+++ b/core/process/beside/beside_test.go
@@ -93,8 +93,9 @@
 	g := NewWithT(t)
 	_, far, c, rank, srv := open(t)
 	g.Expect(srv.Close()).To(Succeed())
-	_, err := c.Report(context.Background(), rank, false)
+	r, err := c.Report(context.Background(), rank, true)
 	g.Expect(err).NotTo(HaveOccurred(), "the report is the engine's own")
+	g.Expect(r.Counts).To(BeNil(), "counts are not read from afar")
 	g.Expect(c.Order(context.Background(), rank, core.RankOrder{Verb: core.RankArm})).To(Succeed())
 	g.Expect(far.orders).To(HaveLen(1))
 
@@ -107,6 +108,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	g.Expect(trace.IsConnectionProblem(c2.Order(ctx, frozen, core.RankOrder{Verb: core.RankArm}))).To(BeTrue())
+	g.Expect(far.orders).To(HaveLen(1), "an order that may have been passed on is not repeated")
+	ctx2, cancel2 := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel2()
+	_, _ = c2.Report(ctx2, frozen, true)
 	g.Expect(c2.Order(context.Background(), frozen, core.RankOrder{Verb: core.RankArm})).To(Succeed())
 	g.Expect(far.orders).To(HaveLen(2))
 }
--- a/core/process/beside/client.go
+++ b/core/process/beside/client.go
@@ -35,18 +35,20 @@
 
 var _ core.Ranks = (*Client)(nil)
 
-// Report implements core.Ranks.
+// Report implements core.Ranks. It has no counts if no process answers beside
+// the rank.
 func (c *Client) Report(ctx context.Context, rank core.RankAddr, counts bool) (core.RankReport, error) {
 	if agent := c.agent(rank); agent != nil {
 		s, err := agent.Status(ctx, &wire.RankStatusRequest{Instance: rank.Instance, Counts: counts})
 		if err == nil {
 			return report(s), nil
 		}
-		if final, err := c.failed(ctx, rank, err); final {
+		if final, err := c.failed(ctx, rank, err, true); final {
 			return core.RankReport{}, err
 		}
 	}
-	return c.Direct.Report(ctx, rank, counts)
+	// Counts read from afar are dear and hold the group up.
+	return c.Direct.Report(ctx, rank, false)
 }
 
 // Placement implements core.Ranks.
@@ -56,7 +58,7 @@
 		if err == nil {
 			return s.GetPlacementMap(), experts(s.GetPlacement()), nil
 		}
-		if final, err := c.failed(ctx, rank, err); final {
+		if final, err := c.failed(ctx, rank, err, true); final {
 			return 0, nil, err
 		}
 	}
@@ -78,7 +80,8 @@
 	if err == nil {
 		return nil
 	}
-	_, err = c.failed(ctx, rank, err)
+	// An order without answer may be due to the engine.
+	_, err = c.failed(ctx, rank, err, false)
 	return err
 }
 
@@ -96,8 +99,9 @@
 
 // failed converts an error of the process beside the rank. final is set if the
 // answer is the engine's, and unset if the process could not be reached, so
-// that the engine itself can be asked.
-func (c *Client) failed(ctx context.Context, rank core.RankAddr, err error) (final bool, converted error) {
+// that the engine itself can be asked. With silent, a process that has not
+// answered in time counts as absent: it may be frozen while the engine goes on.
+func (c *Client) failed(ctx context.Context, rank core.RankAddr, err error, silent bool) (final bool, converted error) {
 	var t twirp.Error
 	if errors.As(err, &t) {
 		for _, code := range codes {
@@ -110,9 +114,7 @@
 		}
 	}
 	meter.Event("agent_unreachable")
-	if !errors.Is(ctx.Err(), context.Canceled) {
-		// A process that does not answer in time may be frozen, while the engine
-		// goes on.
+	if ctx.Err() == nil || silent && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		c.mu.Lock()
 		if c.absent == nil {
 			c.absent = map[netip.Addr]time.Time{}
--- a/gate/process/ranks/round.go
+++ b/gate/process/ranks/round.go
@@ -26,10 +26,10 @@
 	leastGain = 0.05
 	// targetSkew is the skew of a set at which a plan ends.
 	targetSkew = 1.1
-	// moveCost is the least reduction of a set's greatest load, as a part of its
-	// mean load, for which an expert is copied: passes take 15 in 100 longer
-	// while ranks copy.
-	moveCost = 0.03
+	// moveCost is the least reduction of a set's greatest load, as a part of the
+	// load of all its ranks together, for which an expert is copied: passes take
+	// 15 in 100 longer while ranks copy.
+	moveCost = 0.36
 	// rankSpare bounds the experts that one rank copies for a map, each of which
 	// takes a tenth of a second: a second map can follow.
 	rankSpare = 3
@@ -142,7 +142,9 @@
 	if before < leastSkew {
 		return nil
 	}
-	next := expert.Bounded{Places: e.Places, Spare: e.Spare, RankSpare: rankSpare, MoveCost: moveCost, Target: targetSkew, Pace: g.pace}.Place(g.lists, g.load)
+	next := expert.Bounded{
+		Places: e.Places, Spare: e.Spare, RankSpare: rankSpare, MoveCost: moveCost / float64(len(g.spec.Members)), Target: targetSkew, Pace: g.pace,
+	}.Place(g.lists, g.load)
 	if next == nil {
 		return nil
 	}
