Start where a deployment lacks a setting

A deployment without bounds for retries would have had no retries, one without bounds for cold upstreams one request a second.

--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -32,8 +32,6 @@
 	// graceMargin is kept between the last request and the end of the grace
 	// time.
 	graceMargin = 500 * time.Millisecond
-	// defaultGrace is the default of Settings.Grace.
-	defaultGrace = 8 * time.Second
 	// contenders is the number of gates that contend for the lease of the
 	// leader, each of which calls the store about once a second.
 	contenders = 2
@@ -109,6 +107,7 @@
 // build makes the parts. base bounds all work of the process.
 func (g *Gate) build(base context.Context) {
 	s := &g.Settings
+	s.complete()
 	g.states = make(chan view.State, 1)
 	g.store = platform.NewStore(s.Store)
 	g.fleet = &fleet.Fleet{
@@ -129,7 +128,7 @@
 	g.relay = &relay.Relay{
 		Protocol: platform.Protocol{}, Table: g.table.Load, Trail: g.Trail,
 		Picker: &fleet.Picker{Fleet: g.fleet, Zone: s.Zone},
-		Bounds: relay.Bounds{RetryRatio: s.Retry.Ratio, RetryBurst: s.Retry.Burst, RetryWindow: s.Retry.Window.Or(10 * time.Second)},
+		Bounds: relay.Bounds{RetryRatio: s.Retry.Ratio, RetryBurst: s.Retry.Burst, RetryWindow: s.Retry.Window.Duration},
 	}
 	workers := platform.NewWorkers()
 	g.ranks = &beside.Client{Port: s.Ranks, Direct: workers, HTTP: peerClient}
@@ -156,7 +155,7 @@
 func (g *Gate) drain() error {
 	g.draining.Store(true)
 	g.callers.Drain()
-	grace := g.Settings.Grace.Or(defaultGrace) - graceMargin
+	grace := g.Settings.Grace.Duration - graceMargin
 	g.Trail.Log("draining", "active", g.callers.Active(), "grace", grace)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
--- a/gate/serve/settings.go
+++ b/gate/serve/settings.go
@@ -1,7 +1,9 @@
 package serve
 
 import (
+	"cmp"
 	"net/netip"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -54,6 +56,28 @@
 	Slack     float64 `toml:"slack"`
 }
 
+// Defaults of settings that a deployment may not have.
+const (
+	defaultGrace  = 8 * time.Second
+	defaultWindow = 10 * time.Second
+	// defaultRatio and defaultBurst bound repeated sends where the platform sets
+	// no bound: a fifth more, and some for a start.
+	defaultRatio = 0.2
+	defaultBurst = 20
+	// defaultOvershoot leaves a cold upstream its own rate.
+	defaultOvershoot = 1
+)
+
+// complete fills in the defaults.
+func (s *Settings) complete() {
+	s.Grace.Duration = s.Grace.Or(defaultGrace)
+	s.Retry.Window.Duration = s.Retry.Window.Or(defaultWindow)
+	if s.Retry.Ratio == 0 && s.Retry.Burst == 0 {
+		s.Retry.Ratio, s.Retry.Burst = defaultRatio, defaultBurst
+	}
+	s.Cold.Overshoot = cmp.Or(s.Cold.Overshoot, defaultOvershoot)
+}
+
 // Check reports the first setting that is missing or out of range.
 func (s *Settings) Check() error {
 	switch {
