--- a/gate/serve/settings_test.go
+++ b/gate/serve/settings_test.go
@@ -62,7 +62,7 @@
 	g.Expect(check(least)).To(Succeed())
 	for text, part := range map[string]string{
 		least + "zones = 3\n":                     `gate.toml:7: unknown key "zones"`,
-		least + "grace = 3\n":                     `gate.toml:7: key "grace"`,
+		least + "grace = \"3 h\"\n":               `"3 h" is not a duration`,
 		strings.Replace(least, "callers", "#", 1): "setting callers",
 		strings.Replace(least, `"z"`, `""`, 1):    "setting zone",
 		least + "memory = -1\n":                   "memory",
