Send no requests to slow ranks while others have places

Change: the leader's beats name the slow ranks and their paces; the gates pick them last and give them fewer places. Plans may also drop a replica at the slowest rank.

--- a/core/version/expert/bounded.go
+++ b/core/version/expert/bounded.go
@@ -96,9 +96,9 @@
 
 // Bounded improves lists of experts where a rank can take only a few new
 // experts at once. In each set it repeatedly takes the best change at the most
-// loaded rank: another replica of one of its experts, a move or a swap. The
-// changes are judged by the sum of the eighth powers of the ranks' times, which
-// favours the most loaded rank and has no plateaus.
+// loaded rank: another replica of one of its experts, one less there, a move or
+// a swap. The changes are judged by the sum of the eighth powers of the ranks'
+// times, which favours the most loaded rank and has no plateaus.
 type Bounded struct {
 	// Places is the greatest number of experts of a set on one rank.
 	Places int
@@ -211,12 +211,12 @@
 	s.hot = slices.Index(times, s.slowest)
 }
 
-// edit adds expert add to rank at, in the place of evict unless that is
-// negative. With moved, the expert leaves the most loaded rank, which takes
-// evict in exchange.
+// edit is one change: the rank at gets the expert add in the place of evict, and
+// the most loaded rank loses add (drop) or gets evict for it (back). A negative
+// at, add or evict stands for none.
 type edit struct {
 	at, add, evict int
-	moved          bool
+	drop, back     bool
 	score          float64
 }
 
@@ -232,20 +232,24 @@
 		}
 	}
 	for _, x := range s.ranks[hot] {
+		if s.n[x] > 1 {
+			consider(edit{at: -1, add: x, evict: -1, drop: true})
+		}
 		for q := range s.ranks {
 			if q == hot || times[q] >= times[hot] || slices.Contains(s.ranks[q], x) {
 				continue
 			}
 			if len(s.ranks[q]) < p.Places {
 				consider(edit{at: q, add: x, evict: -1})
-				consider(edit{at: q, add: x, evict: -1, moved: true})
+				consider(edit{at: q, add: x, evict: -1, drop: true})
 			}
 			for _, y := range s.ranks[q] {
 				if s.n[y] > 1 {
 					consider(edit{at: q, add: x, evict: y})
+					consider(edit{at: q, add: x, evict: y, drop: true})
 				}
 				if !slices.Contains(s.ranks[hot], y) {
-					consider(edit{at: q, add: x, evict: y, moved: true})
+					consider(edit{at: q, add: x, evict: y, drop: true, back: true})
 				}
 			}
 		}
@@ -284,11 +288,32 @@
 
 // trial returns the lists of the ranks that an edit changes.
 func (s *placing) trial(e edit) []trialList {
-	at := replaceIn(s.ranks[e.at], e.evict, e.add)
-	if !e.moved {
-		return []trialList{{e.at, at}}
+	lists := make([]trialList, 0, 2)
+	if e.at >= 0 {
+		lists = append(lists, trialList{e.at, replaceIn(s.ranks[e.at], e.evict, e.add)})
+	}
+	if e.drop {
+		in := -1
+		if e.back {
+			in = e.evict
+		}
+		lists = append(lists, trialList{s.hot, replaceIn(s.ranks[s.hot], e.add, in)})
 	}
-	return []trialList{{e.at, at}, {s.hot, replaceIn(s.ranks[s.hot], e.add, e.evict)}}
+	return lists
+}
+
+// replicas returns the changes of the numbers of replicas of add and evict.
+func (e edit) replicas() (add, evict int) {
+	if e.at >= 0 {
+		add++
+	}
+	if e.drop {
+		add--
+	}
+	if e.evict >= 0 && !e.back {
+		evict--
+	}
+	return add, evict
 }
 
 // replaceIn returns the list without out and with in; negative ones are left
@@ -320,48 +345,45 @@
 
 // loadsWith returns the rank loads after an edit.
 func (s *placing) loadsWith(e edit) []float64 {
-	loads, hot := slices.Clone(s.loads), s.hot
-	if e.moved {
-		size := s.load[e.add] / float64(s.n[e.add])
-		loads[hot] -= size
-		loads[e.at] += size
-		if e.evict >= 0 {
-			back := s.load[e.evict] / float64(s.n[e.evict])
-			loads[hot] += back
-			loads[e.at] -= back
-		}
-		return loads
-	}
-	s.spread(loads, e.add, s.n[e.add]+1)
-	loads[e.at] += s.load[e.add] / float64(s.n[e.add]+1)
+	loads := slices.Clone(s.loads)
+	add, evict := e.replicas()
+	after := s.trial(e)
+	s.shift(loads, e.add, add, after)
 	if e.evict >= 0 {
-		s.spread(loads, e.evict, s.n[e.evict]-1)
-		loads[e.at] -= s.load[e.evict] / float64(s.n[e.evict]-1)
+		s.shift(loads, e.evict, evict, after)
 	}
 	return loads
 }
 
-// spread changes the loads of the ranks that hold an expert to that with n
-// replicas.
-func (s *placing) spread(loads []float64, expert, n int) {
-	d := s.load[expert]/float64(n) - s.load[expert]/float64(s.n[expert])
+// shift changes the loads to those with more replicas of an expert, where the
+// lists of some ranks are those after an edit.
+func (s *placing) shift(loads []float64, expert, more int, after []trialList) {
+	was := s.load[expert] / float64(s.n[expert])
+	will := s.load[expert] / float64(s.n[expert]+more)
 	for r, list := range s.ranks {
 		if slices.Contains(list, expert) {
-			loads[r] += d
+			loads[r] -= was
+		}
+		for _, t := range after {
+			if t.rank == r {
+				list = t.list
+			}
+		}
+		if slices.Contains(list, expert) {
+			loads[r] += will
 		}
 	}
 }
 
 func (s *placing) apply(e edit) {
+	add, evict := e.replicas()
 	for _, t := range s.trial(e) {
 		s.fresh[t.rank] += s.newIn(t.rank, t.list) - s.newIn(t.rank, s.ranks[t.rank])
 		s.ranks[t.rank] = t.list
 	}
-	if !e.moved {
-		s.n[e.add]++
-		if e.evict >= 0 {
-			s.n[e.evict]--
-		}
+	s.n[e.add] += add
+	if e.evict >= 0 {
+		s.n[e.evict] += evict
 	}
 	s.update()
 }
--- a/core/version/expert/bounded_test.go
+++ b/core/version/expert/bounded_test.go
@@ -96,4 +96,12 @@
 		}
 	}
 	g.Expect(lists.Skew(load, pace)).To(BeNumerically("<", 1.5))
+	// A rank at a tenth of the others' pace gives up all but what it must hold.
+	pace[3] = 10
+	for range 4 {
+		if next := p.Place(lists, load); next != nil {
+			lists = next
+		}
+	}
+	g.Expect(lists.Skew(load, pace)).To(BeNumerically("<", 1.4))
 }
--- a/gate/process/fleet/fleet.go
+++ b/gate/process/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -171,10 +172,12 @@
 }
 
 // Beat takes over the number of requests that the other gates have at each
-// upstream, by key. It belongs to the control goroutine.
-func (f *Fleet) Beat(loads map[uint64]int) {
+// upstream and the paces of those that are slow, by key. It belongs to the
+// control goroutine.
+func (f *Fleet) Beat(loads map[uint64]int, paces map[uint64]float64) {
 	for _, u := range f.upstreams {
 		u.remote.Store(int64(loads[u.Key]))
+		u.pace.Store(math.Float64bits(max(1, paces[u.Key])))
 	}
 }
 
--- a/gate/process/fleet/fleet_test.go
+++ b/gate/process/fleet/fleet_test.go
@@ -52,7 +52,7 @@
 	now := time.Now()
 	first := p.Pick(now, config.Pools["p"], nil)
 	first.End(now, fleet.Sound)
-	p.Fleet.Beat(map[uint64]int{first.Key: 2})
+	p.Fleet.Beat(map[uint64]int{first.Key: 2}, nil)
 	for range 2 {
 		g.Expect(p.Pick(now, config.Pools["p"], nil)).NotTo(Equal(first))
 	}
@@ -208,3 +208,20 @@
 	now = now.Add(time.Second)
 	g.Expect(fill()).To(BeNumerically(">", 20), "no event for a second")
 }
+
+// TestSlowRank guards against work for a rank that slows its whole group, while
+// others have places.
+func TestSlowRank(t *testing.T) {
+	g := NewWithT(t)
+	pool := &core.PoolConfig{Name: "p", Engine: &core.EngineConfig{Slots: 4}}
+	p, _, _ := build(2, pool, nil)
+	now := time.Now()
+	slow := p.Pick(now, pool, nil)
+	slow.End(now, fleet.Sound)
+	p.Fleet.Beat(nil, map[uint64]float64{slow.Key: 5})
+	for range 7 {
+		g.Expect(p.Pick(now, pool, nil)).NotTo(Equal(slow))
+	}
+	g.Expect(p.Pick(now, pool, nil)).To(Equal(slow), "it is better than none")
+	g.Expect(p.Pick(now, pool, nil)).To(BeNil())
+}
--- a/gate/process/fleet/pick.go
+++ b/gate/process/fleet/pick.go
@@ -19,6 +19,10 @@
 	// queuedAtEngine is the number of requests that may wait at an engine, so
 	// that a place is taken again with the next pass.
 	queuedAtEngine = 3
+	// slowPace is the pace from which an upstream gets work only if all others
+	// have theirs, and slowScore puts it behind them.
+	slowPace  = 1.8
+	slowScore = 1000
 	// zoneBias is the load that the way to another zone counts as.
 	zoneBias = 0.4
 	// defaultSlots is assumed for an upstream that does not tell its slots.
@@ -70,7 +74,11 @@
 		if slices.Contains(tried, u) || u.paused(now) || u.Load() >= places(u) || p.Fleet.isDown(u) {
 			continue
 		}
-		score := (float64(u.Load()) + 1) * (1 + failureWeight*u.FailureRate(now))
+		score := (float64(u.Load()) + 1) * (1 + failureWeight*u.FailureRate(now)) * u.Pace()
+		if u.Pace() >= slowPace {
+			// All ranks of a group wait for the slow one.
+			score += slowScore
+		}
 		if u.Zone != p.Zone {
 			score += zoneBias
 		}
@@ -86,7 +94,7 @@
 func (p *Picker) places(now time.Time, pool *core.PoolConfig, list []*Upstream) func(*Upstream) int {
 	if pool.Engine != nil {
 		n := p.Fleet.running(now, pool, list)
-		return func(*Upstream) int { return n }
+		return func(u *Upstream) int { return max(1, int(float64(n)/u.Pace())) }
 	}
 	return func(u *Upstream) int {
 		slots := u.Peer().Slots
--- a/gate/process/fleet/upstream.go
+++ b/gate/process/fleet/upstream.go
@@ -62,6 +62,9 @@
 	own    atomic.Int64
 	remote atomic.Int64
 
+	// pace is the time that the upstream takes relative to a sound one, as the
+	// bits of a float64.
+	pace atomic.Uint64
 	// gone is set once another upstream has answered at the address.
 	gone atomic.Bool
 	// until is when the upstream may get work again after lost connections, as
@@ -83,9 +86,14 @@
 func newUpstream(p *core.Peer, conns *outlet.Pool) *Upstream {
 	u := &Upstream{ID: p.ID, Born: p.Born, Key: xxhash.Sum64String(p.ID), Conn: conns, Zone: p.Zone}
 	u.peer.Store(p)
+	u.pace.Store(math.Float64bits(1))
 	return u
 }
 
+// Pace returns the time that the upstream takes relative to a sound one, 1 if it
+// is not known to be slow.
+func (u *Upstream) Pace() float64 { return math.Float64frombits(u.pace.Load()) }
+
 // Peer returns the upstream's last entry.
 func (u *Upstream) Peer() *core.Peer { return u.peer.Load() }
 
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -29,6 +29,8 @@
 	perPeriod = 16
 	// passedOn is the number of peers' addresses in a beat.
 	passedOn = 4
+	// paceUnit is a pace of one in a beat.
+	paceUnit = 100
 	// maxDatagram bounds a beat.
 	maxDatagram = 8 << 10
 )
@@ -43,7 +45,9 @@
 	Incarnation uint64
 	Trail       *trail.Trail
 	// Load and Known fill in a beat.
-	Load  func() map[uint64]int
+	Load func() map[uint64]int
+	// Paces returns the paces of the upstreams that this gate knows to be slow.
+	Paces func() map[uint64]float64
 	Known func() []*wire.KindRevision
 	// Watching reports whether the gate follows the store itself.
 	Watching func() bool
@@ -113,6 +117,9 @@
 	for key, n := range g.Load() {
 		b.Loads = append(b.Loads, &wire.UpstreamLoad{Key: key, Inflight: uint32(n)})
 	}
+	for key, pace := range g.Paces() {
+		b.Loads = append(b.Loads, &wire.UpstreamLoad{Key: key, Pace: uint32(pace * paceUnit)})
+	}
 	to, live := g.targets(sequence, most)
 	b.Peers = live
 	data, err := proto.Marshal(b)
--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -24,7 +24,7 @@
 	_ = c.Close()
 	g := &gossip.Gossip{
 		Listen: addr, Seeds: seeds, Instance: name, Incarnation: uint64(len(name)),
-		Load: func() map[uint64]int { return load }, Known: func() []*wire.KindRevision { return nil },
+		Load: func() map[uint64]int { return load }, Paces: func() map[uint64]float64 { return map[uint64]float64{uint64(len(name)): 2.5} }, Known: func() []*wire.KindRevision { return nil },
 		Leaving: func() bool { return false }, Watching: func() bool { return true }, OnBeat: func(netip.AddrPort, *wire.Beat) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -45,6 +45,7 @@
 	c, _ := node(t, "ccc", nil, a.Listen, netip.MustParseAddrPort("127.0.0.1:1"))
 	g.Eventually(func() map[uint64]int { return c.Remote() }, "3s").Should(Equal(map[uint64]int{1: 5, 2: 1}))
 	g.Eventually(func() map[uint64]int { return a.Remote() }, "3s").Should(Equal(map[uint64]int{1: 3, 2: 1}))
+	g.Expect(c.SlowPaces()).To(Equal(map[uint64]float64{1: 2.5, 2: 2.5}))
 	incarnation, known, silent := c.Present("bb")
 	g.Expect(known).To(BeTrue())
 	g.Expect(silent).To(BeFalse())
--- a/gate/process/gossip/roster.go
+++ b/gate/process/gossip/roster.go
@@ -86,12 +86,33 @@
 			continue
 		}
 		for _, l := range p.beat.GetLoads() {
-			loads[l.GetKey()] += int(l.GetInflight())
+			if n := l.GetInflight(); n > 0 {
+				loads[l.GetKey()] += int(n)
+			}
 		}
 	}
 	return loads
 }
 
+// SlowPaces returns the paces of the upstreams that other gates know to be slow.
+func (g *Gossip) SlowPaces() map[uint64]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	paces := map[uint64]float64{}
+	for _, p := range g.peers {
+		if p.beat == nil || now.Sub(p.heard) > freshLoad {
+			continue
+		}
+		for _, l := range p.beat.GetLoads() {
+			if l.GetPace() > 0 {
+				paces[l.GetKey()] = max(paces[l.GetKey()], float64(l.GetPace())/paceUnit)
+			}
+		}
+	}
+	return paces
+}
+
 // Gates returns the number of gates that may be sending, this one included.
 func (g *Gossip) Gates() int {
 	g.mu.Lock()
--- a/gate/process/ranks/group.go
+++ b/gate/process/ranks/group.go
@@ -161,6 +161,17 @@
 	}
 }
 
+// slowRanks returns the paces of the slow ranks by instance.
+func (g *group) slowRanks() map[string]float64 {
+	slow := map[string]float64{}
+	for i, p := range g.pace {
+		if p >= leastPace && i < len(g.spec.Members) {
+			slow[g.spec.Members[i].Instance] = p
+		}
+	}
+	return slow
+}
+
 // observeStep measures the time of a pass.
 func (g *group) observeStep(now time.Time, step uint64) {
 	if n := step - g.step; !g.stepAt.IsZero() && step > g.step {
--- a/gate/process/ranks/leader.go
+++ b/gate/process/ranks/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,8 @@
 	nonce uint64
 	// refused is the highest token that a rank has refused as outdated.
 	refused atomic.Uint64
+	// slow holds the paces of the slow ranks of each group, by instance.
+	slow sync.Map
 }
 
 // Update takes over the groups.
@@ -96,7 +99,9 @@
 			g.spec = spec
 			wg.Go(func() {
 				defer flag.Store(false)
-				if err := g.round(ctx); err != nil {
+				err := g.round(ctx)
+				l.slow.Store(name, slowRanks{at: time.Now(), paces: g.slowRanks()})
+				if err != nil {
 					meter.Event("rank_round_errors")
 					if trace.IsAccessDenied(err) {
 						l.refused.Store(max(l.refused.Load(), token))
@@ -160,3 +165,25 @@
 	_, ok := l.held()
 	return ok
 }
+
+// slowRanks are the paces of a group's slow ranks by instance, as of at.
+type slowRanks struct {
+	at    time.Time
+	paces map[string]float64
+}
+
+// slowAge is the age up to which the paces that this leader has read count.
+const slowAge = time.Second
+
+// SlowRanks returns the paces of the slow ranks by instance, as far as this
+// process leads their groups.
+func (l *Leader) SlowRanks() map[string]float64 {
+	paces := map[string]float64{}
+	l.slow.Range(func(_, v any) bool {
+		if s := v.(slowRanks); time.Since(s.at) < slowAge {
+			maps.Copy(paces, s.paces)
+		}
+		return true
+	})
+	return paces
+}
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"parsleyroute.example/core"
 	"parsleyroute.example/gate/process/ranks"
 	"parsleyroute.example/gate/process/view"
@@ -67,7 +69,9 @@
 			g.gossip.Add(s.Seeds...)
 		case now := <-tick.C:
 			g.fleet.SetGates(g.gossip.Gates())
-			g.fleet.Beat(g.gossip.Remote())
+			paces := g.gossip.SlowPaces()
+			maps.Copy(paces, g.slowRanks())
+			g.fleet.Beat(g.gossip.Remote(), paces)
 			g.relay.Tick()
 			if now.Sub(swept) > sweepPeriod {
 				g.fleet.Tick(now)
@@ -158,3 +162,13 @@
 	_, err = write(ctx, own)
 	return err
 }
+
+// slowRanks returns the paces of the slow ranks that this gate knows as their
+// leader, by key.
+func (g *Gate) slowRanks() map[uint64]float64 {
+	paces := map[uint64]float64{}
+	for id, pace := range g.leader.SlowRanks() {
+		paces[xxhash.Sum64String(id)] = pace
+	}
+	return paces
+}
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -122,7 +122,7 @@
 	}
 	g.gossip = &gossip.Gossip{
 		Listen: s.Peers, Seeds: s.Seeds, Instance: s.Instance, Zone: s.Zone, Incarnation: start.Incarnation(),
-		Trail: g.Trail, Load: g.fleet.Loads, Known: g.view.Known, Leaving: g.draining.Load, Watching: g.view.Watching,
+		Trail: g.Trail, Load: g.fleet.Loads, Paces: g.slowRanks, Known: g.view.Known, Leaving: g.draining.Load, Watching: g.view.Watching,
 		OnBeat: func(addr netip.AddrPort, b *wire.Beat) { g.view.Heard(base, addr, b.GetKnown()) },
 	}
 	g.relay = &relay.Relay{
