--- a/core/process/lease/ended_test.go
+++ b/core/process/lease/ended_test.go
@@ -19,7 +19,13 @@
 // against a contender that does not know the token in force.
 func TestEndedHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &memory.Store{Before: func(context.Context, memory.Op, core.Key) error { return nil }}
+		var down atomic.Bool
+		store := &memory.Store{Before: func(context.Context, memory.Op, core.Key) error {
+			if down.Load() {
+				return trace.ConnectionProblem(nil, "down")
+			}
+			return nil
+		}}
 		first := &lease.Lease{Store: store, Name: "ranks", Holder: "a/1", TTL: ttl, Renew: time.Second}
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -56,7 +62,7 @@
 		}
 		// In an outage nobody holds the lease, and the last holder can tell that
 		// it is the last.
-		store.Before = func(context.Context, memory.Op, core.Key) error { return trace.ConnectionProblem(nil, "down") }
+		down.Store(true)
 		time.Sleep(2 * ttl)
 		next, ok := second.Last()
 		if _, held := second.Held(); held || !ok || next <= token {
