Give the former holder of TestEndedHolder its renewal period

The test looked 1.5 s after the holder was known to have ended; the contender takes up to 1 s to look and the former holder up to 1 s to learn of it.

--- a/core/process/lease/ended_test.go
+++ b/core/process/lease/ended_test.go
@@ -53,7 +53,9 @@
 			t.Fatalf("the contender has seen token %d, want %d", second.Seen(), token)
 		}
 		ended.Store(true)
-		time.Sleep(1500 * time.Millisecond)
+		// The contender looks within a renewal period, and the former holder
+		// learns of it within another.
+		time.Sleep(2500 * time.Millisecond)
 		if last, ok := first.Last(); ok {
 			t.Fatalf("a former holder goes on under token %d", last)
 		}
