--- a/core/process/lease/ended_test.go
+++ b/core/process/lease/ended_test.go
@@ -42,6 +42,9 @@
 			Store: store, Name: "ranks", Holder: "a/2", TTL: ttl, Renew: time.Second,
 			Ended: func(holder string) bool { return ended.Load() && holder == "a/1" },
 		}
+		// The contenders look at different times, so that neither always writes
+		// between the other's read and write.
+		time.Sleep(300 * time.Millisecond)
 		ctx2, stop2 := context.WithCancel(t.Context())
 		done2 := make(chan struct{})
 		go func() { defer close(done2); _ = second.Run(ctx2) }()
