--- a/gate/request/relay/relay.go
+++ b/gate/request/relay/relay.go
@@ -80,6 +80,7 @@
 		t.refuse(fasthttp.StatusServiceUnavailable, core.ReasonNotReady, "no configuration is known yet", startRetry)
 		return
 	}
+	t.version = table.Config.Version
 	t.route = table.Find(string(x.Header.Host()), string(x.Header.RequestURI()))
 	if t.route == nil {
 		t.refuse(fasthttp.StatusNotFound, core.ReasonNotFound, "no route takes this host and path", 0)
@@ -98,7 +99,6 @@
 		t.refuse(fasthttp.StatusServiceUnavailable, core.ReasonNoUpstream, "the route has no service", startRetry)
 		return
 	}
-	t.version = table.Config.Version
 	t.run()
 }
 
