--- a/core/version/expert/bounded.go
+++ b/core/version/expert/bounded.go
@@ -225,6 +225,9 @@
 func (s *placing) best(p Bounded) (edit, bool) {
 	best, found := edit{score: math.Inf(-1)}, false
 	hot, times := s.hot, timed(s.loads, s.pace)
+	// Fewer replicas make a map worse once other experts are in demand, so that
+	// only a slow rank gives its up.
+	slow := s.pace != nil && s.pace[hot] > 1
 	consider := func(e edit) {
 		if v, ok := s.judge(p, e); ok && v > best.score {
 			e.score = v
@@ -232,7 +235,7 @@
 		}
 	}
 	for _, x := range s.ranks[hot] {
-		if s.n[x] > 1 {
+		if slow && s.n[x] > 1 {
 			consider(edit{at: -1, add: x, evict: -1, drop: true})
 		}
 		for q := range s.ranks {
@@ -246,7 +249,9 @@
 			for _, y := range s.ranks[q] {
 				if s.n[y] > 1 {
 					consider(edit{at: q, add: x, evict: y})
-					consider(edit{at: q, add: x, evict: y, drop: true})
+					if slow {
+						consider(edit{at: q, add: x, evict: y, drop: true})
+					}
 				}
 				if !slices.Contains(s.ranks[hot], y) {
 					consider(edit{at: q, add: x, evict: y, drop: true, back: true})
