Break off a stream that has begun; answer 504 when the time is over

Cause: a stream whose first worker answered with 500 and whose second was lost after its first event got the first worker's answer in the middle of its body. And a read whose deadline had passed could return before the context ended, so that the caller got 502 instead of 504 ('ends at the route's timeout with 504' failed once in some ten runs).

Change: what has begun is broken off; the deadline itself tells whether the time is over. 'is broken off after an earlier error answer' failed before. The readiness path is named in platform/.

--- a/gate/request/relay/refuse.go
+++ b/gate/request/relay/refuse.go
@@ -33,7 +33,7 @@
 		t.gone()
 		return
 	}
-	if t.last != nil {
+	if t.last != nil && !t.x.Began() {
 		t.pass(t.last)
 		return
 	}
@@ -55,10 +55,10 @@
 // late writes the last answer of a request whose time is over.
 func (t *trip) late(cause core.Reason) {
 	switch {
-	case t.last != nil:
-		t.pass(t.last)
 	case t.x.Began():
 		t.abort(core.ReasonDeadline)
+	case t.last != nil:
+		t.pass(t.last)
 	case t.mayHaveRun:
 		t.failWith(fasthttp.StatusGatewayTimeout, core.ReasonDeadline, "the upstream did not answer in time")
 	default:
@@ -71,7 +71,7 @@
 	switch {
 	case t.x.Began():
 		t.abort(reason)
-	case ctx.Err() != nil:
+	case t.over(ctx):
 		t.failWith(fasthttp.StatusGatewayTimeout, reason, message)
 	default:
 		t.failWith(fasthttp.StatusBadGateway, reason, message)
--- a/gate/request/relay/relay_test.go
+++ b/gate/request/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -468,6 +469,30 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// Guards against an earlier worker's error answer that is written into a
+	// stream which has begun.
+	It("is broken off after an earlier error answer", func() {
+		var sends atomic.Int32
+		script := func(c *worker.Conn, a *worker.Arrival) {
+			if sends.Add(1) == 1 {
+				c.Answer(a, 500, "failed")
+				return
+			}
+			c.Begin(a)
+			c.Event(1)
+			time.Sleep(30 * time.Millisecond)
+			c.Reset()
+		}
+		s := open(script, script)
+		c := s.dial()
+		_, err := io.WriteString(c, head("/stream/", "Content-Length: 0\r\n")+"\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		raw, _ := io.ReadAll(c)
+		Expect(strings.Count(string(raw), "HTTP/1.1")).To(Equal(1))
+		Expect(string(raw)).NotTo(ContainSubstring("failed"))
+		Expect(string(raw)).NotTo(HaveSuffix("0\r\n\r\n"))
+	})
+
 	// Guards against requests that are refused although their group is back
 	// within the caller's patience, and against a group that is asked again by
 	// each request while it is down.
--- a/gate/request/relay/trip.go
+++ b/gate/request/relay/trip.go
@@ -149,6 +149,12 @@
 	return t.deadline
 }
 
+// over reports whether the request's time is over. A read whose deadline has
+// passed may return before the context ends.
+func (t *trip) over(ctx context.Context) bool {
+	return ctx.Err() != nil || !time.Now().Before(t.deadline)
+}
+
 // patience returns when the caller of a stream leaves unless an event comes.
 func (t *trip) patience() time.Time {
 	from := t.start
@@ -167,7 +173,7 @@
 	case t.x.Context().Err() != nil:
 		t.gone()
 		return false
-	case ctx.Err() != nil:
+	case t.over(ctx):
 		t.late(cause)
 		return false
 	case v == verdictUnsent:
@@ -184,6 +190,8 @@
 		}
 	}
 	switch {
+	case t.x.Began():
+		t.abort(cause)
 	case t.last != nil:
 		t.pass(t.last)
 	case t.mayHaveRun:
--- a/gate/serve/apps.go
+++ b/gate/serve/apps.go
@@ -10,6 +10,7 @@
 	"parsleyroute.example/core/conn/server"
 	"parsleyroute.example/core/wire"
 	"parsleyroute.example/gate/process/view"
+	"parsleyroute.example/platform"
 )
 
 // pull asks a peer for what it knows.
@@ -19,7 +20,7 @@
 
 func (g *Gate) readyApp() *fiber.App {
 	app := fiber.New(fiber.Config{AppName: "parsleyroute gate readiness"})
-	app.Get("/-/readyz", func(c fiber.Ctx) error {
+	app.Get(platform.ReadyPath, func(c fiber.Ctx) error {
 		if !g.synced.Load() || g.draining.Load() {
 			return c.SendStatus(fiber.StatusServiceUnavailable)
 		}
