--- a/core/version/expert/bounded.go
+++ b/core/version/expert/bounded.go
@@ -177,7 +177,6 @@
 type placing struct {
 	load  []float64
 	ranks [][]int
-	start [][]int
 	n     []int // replicas of each expert
 	loads []float64
 	pace  []float64
@@ -185,18 +184,28 @@
 	// hot is the rank that takes longest, and slowest its time.
 	hot     int
 	slowest float64
-	// fresh counts the experts of all sets that are new to each rank.
+	// fresh counts the experts of all sets that are new to each rank, and own
+	// those of this set.
 	fresh []int
+	own   []int
+	// has and had tell whether a rank holds an expert, now and at the start.
+	has, had [][]bool
+	// buf holds the loads with an edit.
+	buf []float64
 	// done is set once no edit helps.
 	done bool
 }
 
 func newPlacing(ranks [][]int, load, pace []float64, fresh []int) *placing {
-	s := &placing{load: load, pace: pace, ranks: ranks, start: make([][]int, len(ranks)), n: make([]int, len(load)), fresh: fresh}
+	s := &placing{
+		load: load, pace: pace, ranks: ranks, n: make([]int, len(load)), fresh: fresh, own: make([]int, len(ranks)),
+		has: make([][]bool, len(ranks)), had: make([][]bool, len(ranks)), buf: make([]float64, len(ranks)),
+	}
 	for r := range ranks {
-		s.start[r] = slices.Clone(ranks[r])
+		s.has[r], s.had[r] = make([]bool, len(load)), make([]bool, len(load))
 		for _, e := range ranks[r] {
 			s.n[e]++
+			s.has[r][e], s.had[r][e] = true, true
 		}
 	}
 	s.mean = total(load) / float64(len(ranks))
@@ -228,8 +237,9 @@
 	// Fewer replicas make a map worse once other experts are in demand, so that
 	// only a slow rank gives its up.
 	slow := s.pace != nil && s.pace[hot] > 1
+	before := s.potential(s.loads)
 	consider := func(e edit) {
-		if v, ok := s.judge(p, e); ok && v > best.score {
+		if v, ok := s.judge(p, e, before); ok && v > best.score {
 			e.score = v
 			best, found = e, true
 		}
@@ -239,7 +249,7 @@
 			consider(edit{at: -1, add: x, evict: -1, drop: true})
 		}
 		for q := range s.ranks {
-			if q == hot || times[q] >= times[hot] || slices.Contains(s.ranks[q], x) {
+			if q == hot || times[q] >= times[hot] || s.has[q][x] {
 				continue
 			}
 			if len(s.ranks[q]) < p.Places {
@@ -253,7 +263,7 @@
 						consider(edit{at: q, add: x, evict: y, drop: true})
 					}
 				}
-				if !slices.Contains(s.ranks[hot], y) {
+				if !s.has[hot][y] {
 					consider(edit{at: q, add: x, evict: y, drop: true, back: true})
 				}
 			}
@@ -264,47 +274,57 @@
 
 // judge returns the reduction of the potential by an edit for each new expert,
 // as a part of the mean load, and whether the edit is allowed.
-func (s *placing) judge(p Bounded, e edit) (float64, bool) {
-	touched := s.trial(e)
-	fresh := 0
-	for _, t := range touched {
-		n := s.newIn(t.rank, t.list)
-		more := n - s.newIn(t.rank, s.ranks[t.rank])
-		if n > p.Spare || p.RankSpare > 0 && more > 0 && s.fresh[t.rank]+more > p.RankSpare {
-			return 0, false
-		}
-		fresh += more
-	}
-	before, after := 0.0, 0.0
-	was, will := timed(s.loads, s.pace), timed(s.loadsWith(e), s.pace)
-	for r := range will {
-		before += eighth(was[r] / s.mean)
-		after += eighth(will[r] / s.mean)
+func (s *placing) judge(p Bounded, e edit, before float64) (float64, bool) {
+	at, hot := s.moreNew(e)
+	if e.at >= 0 && !s.mayTake(p, e.at, at) || e.drop && !s.mayTake(p, s.hot, hot) {
+		return 0, false
 	}
-	// The eighth root brings the sums back to the scale of a load.
-	gain := math.Pow(before, 1.0/8) - math.Pow(after, 1.0/8)
-	return gain / float64(max(1, fresh)), gain > 1e-9
+	gain := before - s.potential(s.loadsWith(e))
+	return gain / float64(max(1, at+hot)), gain > 1e-9
 }
 
-type trialList struct {
-	rank int
-	list []int
+// mayTake reports whether a rank may have more new experts.
+func (s *placing) mayTake(p Bounded, rank, more int) bool {
+	if s.own[rank]+more > p.Spare {
+		return false
+	}
+	return p.RankSpare == 0 || more <= 0 || s.fresh[rank]+more <= p.RankSpare
 }
 
-// trial returns the lists of the ranks that an edit changes.
-func (s *placing) trial(e edit) []trialList {
-	lists := make([]trialList, 0, 2)
+// moreNew returns by how many the new experts of the rank that an edit adds to,
+// and of the hot rank, grow.
+func (s *placing) moreNew(e edit) (at, hot int) {
 	if e.at >= 0 {
-		lists = append(lists, trialList{e.at, replaceIn(s.ranks[e.at], e.evict, e.add)})
+		at = s.isNew(e.at, e.add) - s.isNew(e.at, e.evict)
 	}
 	if e.drop {
-		in := -1
-		if e.back {
-			in = e.evict
+		hot = -s.isNew(s.hot, e.add)
+	}
+	if e.back {
+		hot += s.isNew(s.hot, e.evict)
+	}
+	return at, hot
+}
+
+// isNew returns 1 for an expert that the rank did not hold at the start.
+func (s *placing) isNew(rank, expert int) int {
+	if expert < 0 || s.had[rank][expert] {
+		return 0
+	}
+	return 1
+}
+
+// potential returns the eighth root of the sum of the eighth powers of the
+// ranks' times, which is on the scale of a load.
+func (s *placing) potential(loads []float64) float64 {
+	sum := 0.0
+	for r, v := range loads {
+		if s.pace != nil {
+			v *= s.pace[r]
 		}
-		lists = append(lists, trialList{s.hot, replaceIn(s.ranks[s.hot], e.add, in)})
+		sum += eighth(v / s.mean)
 	}
-	return lists
+	return math.Pow(sum, 1.0/8)
 }
 
 // replicas returns the changes of the numbers of replicas of add and evict.
@@ -321,70 +341,56 @@
 	return add, evict
 }
 
-// replaceIn returns the list without out and with in; negative ones are left
-// out.
-func replaceIn(list []int, out, in int) []int {
-	c := make([]int, 0, len(list)+1)
-	for _, e := range list {
-		if e != out {
-			c = append(c, e)
-		}
+// loadsWith returns the rank loads after an edit, in a buffer that the next call
+// uses again.
+func (s *placing) loadsWith(e edit) []float64 {
+	copy(s.buf, s.loads)
+	add, evict := e.replicas()
+	s.spread(e.add, add)
+	share := s.load[e.add] / float64(s.n[e.add]+add)
+	if e.at >= 0 {
+		s.buf[e.at] += share
 	}
-	if in >= 0 {
-		c = append(c, in)
+	if e.drop {
+		s.buf[s.hot] -= share
 	}
-	return c
-}
-
-// newIn returns the number of experts in the list that the rank did not have at
-// the start.
-func (s *placing) newIn(rank int, list []int) int {
-	n := 0
-	for _, e := range list {
-		if !slices.Contains(s.start[rank], e) {
-			n++
+	if e.evict >= 0 {
+		s.spread(e.evict, evict)
+		share = s.load[e.evict] / float64(s.n[e.evict]+evict)
+		s.buf[e.at] -= share
+		if e.back {
+			s.buf[s.hot] += share
 		}
 	}
-	return n
+	return s.buf
 }
 
-// loadsWith returns the rank loads after an edit.
-func (s *placing) loadsWith(e edit) []float64 {
-	loads := slices.Clone(s.loads)
-	add, evict := e.replicas()
-	after := s.trial(e)
-	s.shift(loads, e.add, add, after)
-	if e.evict >= 0 {
-		s.shift(loads, e.evict, evict, after)
+// spread changes the loads of the ranks that hold an expert to those with more
+// replicas of it.
+func (s *placing) spread(expert, more int) {
+	if more == 0 {
+		return
 	}
-	return loads
-}
-
-// shift changes the loads to those with more replicas of an expert, where the
-// lists of some ranks are those after an edit.
-func (s *placing) shift(loads []float64, expert, more int, after []trialList) {
-	was := s.load[expert] / float64(s.n[expert])
-	will := s.load[expert] / float64(s.n[expert]+more)
-	for r, list := range s.ranks {
-		if slices.Contains(list, expert) {
-			loads[r] -= was
-		}
-		for _, t := range after {
-			if t.rank == r {
-				list = t.list
-			}
-		}
-		if slices.Contains(list, expert) {
-			loads[r] += will
+	d := s.load[expert]/float64(s.n[expert]+more) - s.load[expert]/float64(s.n[expert])
+	for r := range s.has {
+		if s.has[r][expert] {
+			s.buf[r] += d
 		}
 	}
 }
 
 func (s *placing) apply(e edit) {
 	add, evict := e.replicas()
-	for _, t := range s.trial(e) {
-		s.fresh[t.rank] += s.newIn(t.rank, t.list) - s.newIn(t.rank, s.ranks[t.rank])
-		s.ranks[t.rank] = t.list
+	at, hot := s.moreNew(e)
+	if e.at >= 0 {
+		s.change(e.at, e.evict, e.add, at)
+	}
+	if e.drop {
+		in := -1
+		if e.back {
+			in = e.evict
+		}
+		s.change(s.hot, e.add, in, hot)
 	}
 	s.n[e.add] += add
 	if e.evict >= 0 {
@@ -393,6 +399,22 @@
 	s.update()
 }
 
+// change takes an expert out of a rank's list and puts another in; negative ones
+// are left out. more is by how many the rank's new experts grow.
+func (s *placing) change(rank, out, in, more int) {
+	if out >= 0 {
+		i := slices.Index(s.ranks[rank], out)
+		s.ranks[rank] = slices.Delete(s.ranks[rank], i, i+1)
+		s.has[rank][out] = false
+	}
+	if in >= 0 {
+		s.ranks[rank] = append(s.ranks[rank], in)
+		s.has[rank][in] = true
+	}
+	s.own[rank] += more
+	s.fresh[rank] += more
+}
+
 func eighth(x float64) float64 {
 	x *= x
 	x *= x
