Use the clock's Sleep instead of two copies

gate/process/ranks and gate/process/view had a sleep of their own each, beside clock.Real.Sleep; gossip had a file for one comparison. Behaviour is as before.

--- a/gate/process/gossip/errors.go
+++ /dev/null
@@ -1,9 +0,0 @@
-package gossip
-
-import (
-	"errors"
-	"net"
-)
-
-// isClosed reports whether the socket was closed by Run.
-func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -172,7 +173,7 @@
 	for {
 		n, _, err := conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
-			if isClosed(err) {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			meter.Event("beat_errors")
--- a/gate/process/ranks/guard.go
+++ b/gate/process/ranks/guard.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"parsleyroute.example/core/process/clock"
+
 	"github.com/gravitational/trace"
 
 	"parsleyroute.example/core"
@@ -28,7 +30,7 @@
 	}
 	holds := map[string]hold{}
 	for ctx.Err() == nil {
-		sleep(ctx, guardPeriod)
+		_ = clock.Real{}.Sleep(ctx, guardPeriod)
 		if _, leading := l.held(); leading || !l.Contends() {
 			clear(holds)
 			continue
--- a/gate/process/ranks/leader.go
+++ b/gate/process/ranks/leader.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"parsleyroute.example/core/process/clock"
+
 	"github.com/gravitational/trace"
 
 	"parsleyroute.example/core"
@@ -140,7 +142,7 @@
 func (l *Leader) contend(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !l.Contends() {
-			sleep(ctx, leaseRenew)
+			_ = clock.Real{}.Sleep(ctx, leaseRenew)
 			continue
 		}
 		lctx, cancel := context.WithCancel(ctx)
@@ -154,7 +156,7 @@
 			}
 		}()
 		for ctx.Err() == nil && (l.Contends() || l.leads()) {
-			sleep(ctx, leaseRenew)
+			_ = clock.Real{}.Sleep(ctx, leaseRenew)
 		}
 		cancel()
 		<-done
--- a/gate/process/ranks/swap.go
+++ b/gate/process/ranks/swap.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"parsleyroute.example/core/process/clock"
+
 	"github.com/gravitational/trace"
 
 	"parsleyroute.example/core"
@@ -148,7 +150,7 @@
 			case err == nil && r.Prepared == version:
 				return nil
 			}
-			sleep(ctx, pollPeriod)
+			_ = clock.Real{}.Sleep(ctx, pollPeriod)
 		}
 	})
 }
@@ -197,7 +199,7 @@
 		if g.reformed(ctx, rank) {
 			return trace.CompareFailed("the group has formed anew")
 		}
-		sleep(ctx, orderPause)
+		_ = clock.Real{}.Sleep(ctx, orderPause)
 	}
 }
 
@@ -223,10 +225,3 @@
 func (g *group) release(ctx context.Context, step uint64) error {
 	return g.confirm(ctx, holder, core.RankOrder{Verb: core.RankRelease, Step: step})
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/gate/process/view/follow.go
+++ b/gate/process/view/follow.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"parsleyroute.example/core/process/clock"
+
 	"github.com/gravitational/trace"
 
 	"parsleyroute.example/core"
@@ -45,7 +47,7 @@
 	for ctx.Err() == nil {
 		if listed && v.Lead != nil && !v.Lead() {
 			watching.Store(false)
-			sleep(ctx, leadPeriod)
+			_ = clock.Real{}.Sleep(ctx, leadPeriod)
 			continue
 		}
 		var objects []core.Object
@@ -58,7 +60,7 @@
 			var next uint64
 			watching.Store(!failing)
 			// Changes that come together are read with one call.
-			sleep(ctx, watchSpacing-time.Since(watched))
+			_ = clock.Real{}.Sleep(ctx, watchSpacing-time.Since(watched))
 			wait := watchWait - time.Duration(rand.Int64N(int64(watchWait/4)))
 			if objects, next, err = v.Feed.WatchKind(ctx, kind, at, wait); err == nil {
 				at = next
@@ -80,7 +82,7 @@
 			watching.Store(false)
 			meter.Event("store_errors")
 			v.do(ctx, func() { v.trouble = time.Now() })
-			sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
+			_ = clock.Real{}.Sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
 			backoff = min(2*backoff, longestBackoff)
 			continue
 		}
@@ -95,13 +97,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
