Copy fewer experts while passes have room

Change: while pauses are below half of the longest on time, a map is left up to a skew of 2 and an expert is copied only for three times the gain.

--- a/gate/process/fleet/pace.go
+++ b/gate/process/fleet/pace.go
@@ -61,6 +61,20 @@
 	}
 }
 
+// PauseShare returns the part of the longest pause on time that the pauses of a
+// pool took when they were last measured, zero if they never were.
+func (f *Fleet) PauseShare(pool string) float64 {
+	v, ok := f.paces.Load(pool)
+	longest, known := f.longest.Load(pool)
+	if !ok || !known {
+		return 0
+	}
+	p := v.(*pace)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mean.Seconds() / longest.(time.Duration).Seconds()
+}
+
 // running returns the number of sequences that each rank of a pool may run so
 // that the pauses stay on time. The time of a token step with n sequences is
 // factor x (step + n x perSequence), where the measured pauses give the factor:
--- a/gate/process/ranks/group.go
+++ b/gate/process/ranks/group.go
@@ -100,6 +100,9 @@
 	// pace is the time that each rank takes relative to a sound one; nil if all
 	// are sound.
 	pace []float64
+	// pauseShare is the part of the longest pause on time that passes take, zero
+	// if it is unknown.
+	pauseShare float64
 	// observed is how much time the load covers.
 	observed time.Duration
 }
--- a/gate/process/ranks/leader.go
+++ b/gate/process/ranks/leader.go
@@ -44,6 +44,9 @@
 	Fenced bool
 	// Ended reports whether another contender's process is known to have ended.
 	Ended func(holder string) bool
+	// PauseShare returns the part of the longest pause on time that the passes of
+	// a pool take, zero if it is unknown.
+	PauseShare func(pool string) float64
 	// Contends reports whether this gate contends for the lease now.
 	Contends func() bool
 
@@ -98,7 +101,7 @@
 			if !flag.CompareAndSwap(false, true) {
 				continue
 			}
-			g.spec = spec
+			g.spec, g.pauseShare = spec, l.PauseShare(spec.Pool)
 			wg.Go(func() {
 				defer flag.Store(false)
 				err := g.round(ctx)
--- a/gate/process/ranks/round.go
+++ b/gate/process/ranks/round.go
@@ -30,6 +30,13 @@
 	// load of all its ranks together, for which an expert is copied: passes take
 	// 15 in 100 longer while ranks copy.
 	moveCost = 0.36
+	// easyShare is the part of the longest pause on time up to which passes have
+	// room: a burst to 1.7 times the requests leaves them on time. easySkew and
+	// easyMoveCost then take the places of leastSkew and moveCost, since a copy is
+	// priced and callers do not see the gain.
+	easyShare    = 0.5
+	easySkew     = 2
+	easyMoveCost = 3 * moveCost
 	// rankSpare bounds the experts that one rank copies for a map, each of which
 	// takes a tenth of a second: a second map can follow.
 	rankSpare = 3
@@ -136,14 +143,28 @@
 	if g.load == nil || g.observed < leastObserved {
 		return nil
 	}
+	next := g.better()
+	if next == nil {
+		return nil
+	}
+	return g.swap(ctx, next)
+}
+
+// better returns the lists of a map that is worth its copies, nil if there is
+// none.
+func (g *group) better() expert.Lists {
 	e := &g.spec.Engine
 	before := g.lists.Skew(g.load, g.pace)
 	meter.Gauge("expert_skew_"+g.spec.Name, func() any { return before })
-	if before < leastSkew {
+	skew, cost := leastSkew, moveCost
+	if g.pauseShare > 0 && g.pauseShare < easyShare {
+		skew, cost = easySkew, easyMoveCost
+	}
+	if before < skew {
 		return nil
 	}
 	next := expert.Bounded{
-		Places: e.Places, Spare: e.Spare, RankSpare: rankSpare, MoveCost: moveCost / float64(len(g.spec.Members)), Target: targetSkew, Pace: g.pace,
+		Places: e.Places, Spare: e.Spare, RankSpare: rankSpare, MoveCost: cost / float64(len(g.spec.Members)), Target: targetSkew, Pace: g.pace,
 	}.Place(g.lists, g.load)
 	if next == nil {
 		return nil
@@ -152,7 +173,7 @@
 	if 1-passTime(e, after)/passTime(e, before) < leastGain {
 		return nil
 	}
-	return g.swap(ctx, next)
+	return next
 }
 
 // passTime returns the time of a pass at a skew, as a multiple of that of a
--- a/gate/process/ranks/swap.go
+++ b/gate/process/ranks/swap.go
@@ -43,7 +43,7 @@
 	all, most := g.lists.NewExperts(next)
 	start := time.Now()
 	g.trail.Log("map_planned", "group", g.spec.Name, "epoch", g.epoch, "map", version, "former", g.version, "token", g.token,
-		"skew", g.lists.Skew(g.load, g.pace), "expected_skew", next.Skew(g.load, g.pace), "new_experts", all, "observed", g.observed)
+		"skew", g.lists.Skew(g.load, g.pace), "expected_skew", next.Skew(g.load, g.pace), "new_experts", all, "observed", g.observed, "pause_share", g.pauseShare)
 	if err := g.prepare(ctx, version, next, time.Duration(most)*expertCopy+prepareMargin); err != nil {
 		return trace.Wrap(err, "prepare")
 	}
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -136,6 +136,7 @@
 		Ranks: g.ranks, Direct: workers,
 		Store: g.store, Trail: g.Trail, Holder: holder(s.Instance, g.gossip.Incarnation),
 		Fenced: s.Fenced, Ended: g.ended,
+		PauseShare: g.fleet.PauseShare,
 		Contends: func() bool { return !g.draining.Load() && g.gossip.First(contenders) },
 	}
 	g.leader.Update(nil)
