--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -137,7 +137,7 @@
 		Store: g.store, Trail: g.Trail, Holder: holder(s.Instance, g.gossip.Incarnation),
 		Fenced: s.Fenced, Ended: g.ended,
 		PauseShare: g.fleet.PauseShare,
-		Contends: func() bool { return !g.draining.Load() && g.gossip.First(contenders) },
+		Contends:   func() bool { return !g.draining.Load() && g.gossip.First(contenders) },
 	}
 	g.leader.Update(nil)
 	g.callers = &inlet.Server{
