--- a/core/process/start/direct.go
+++ b/core/process/start/direct.go
@@ -27,6 +27,10 @@
 	// heapTenths is the part of the memory, in tenths, that the heap may take
 	// before it is collected more often.
 	heapTenths = 7
+	// smallGC is the growth of the heap, in percent, at which it is collected. At
+	// 100 a process holds 4 MB of garbage, a third to two thirds of its memory; at
+	// 10 it takes no less memory than at 25.
+	smallGC = 25
 	// reloadPeriod is how often the settings file is compared with what was
 	// read, since it can change without a signal.
 	reloadPeriod = 5 * time.Second
@@ -96,6 +100,7 @@
 	if memory > 0 {
 		debug.SetMemoryLimit(int64(memory) << 20 / 10 * heapTenths)
 	}
+	debug.SetGCPercent(smallGC)
 	t := trail.New(os.Stdout, p.Name, instance)
 	defer t.Close(flushTime)
 	reloads := make(chan S, 1)
