Tell other gates of a changed load within 20 ms; leave fewer maps alone

All ranks wait for the slowest, and the longest pause at a shift of demand is near the limit (115 to 150 of 120 ms).

Change: a gate sends a beat when its load changes, at most every 20 ms for each eight peers, and takes over a heard load within 10 ms. A beat with more than 400 loads tells a part of them instead of not being sent.

--- a/gate/process/fleet/fleet.go
+++ b/gate/process/fleet/fleet.go
@@ -34,6 +34,9 @@
 type Fleet struct {
 	Bounds Bounds
 	Trail  *trail.Trail
+	// OnLoad is called, if it is set, when a request of this gate begins or ends
+	// at an upstream.
+	OnLoad func()
 
 	snapshot atomic.Pointer[Snapshot]
 	// gates is the number of gates that may be sending.
@@ -192,6 +195,25 @@
 	return loads
 }
 
+// Begin counts a request that is about to be sent to the upstream.
+func (f *Fleet) Begin(u *Upstream) {
+	u.own.Add(1)
+	f.loadChanged()
+}
+
+// End counts the end of a request at the upstream and its outcome.
+func (f *Fleet) End(now time.Time, u *Upstream, o Outcome) {
+	u.own.Add(-1)
+	u.observe(now, o)
+	f.loadChanged()
+}
+
+func (f *Fleet) loadChanged() {
+	if f.OnLoad != nil {
+		f.OnLoad()
+	}
+}
+
 // Tick closes connections that have been idle for too long. It belongs to the
 // control goroutine.
 func (f *Fleet) Tick(now time.Time) {
--- a/gate/process/fleet/fleet_test.go
+++ b/gate/process/fleet/fleet_test.go
@@ -51,7 +51,7 @@
 	p, _, config := build(2, &core.PoolConfig{Name: "p"}, nil)
 	now := time.Now()
 	first := p.Pick(now, config.Pools["p"], nil)
-	first.End(now, fleet.Sound)
+	p.Fleet.End(now, first, fleet.Sound)
 	p.Fleet.Beat(map[uint64]int{first.Key: 2}, nil)
 	for range 2 {
 		g.Expect(p.Pick(now, config.Pools["p"], nil)).NotTo(Equal(first))
@@ -128,7 +128,7 @@
 	p, _, config := build(1, &core.PoolConfig{Name: "p"}, nil)
 	now := time.Now()
 	for range 2 {
-		p.Pick(now, config.Pools["p"], nil).End(now, fleet.Lost)
+		p.Fleet.End(now, p.Pick(now, config.Pools["p"], nil), fleet.Lost)
 	}
 	g.Expect(p.Pick(now, config.Pools["p"], nil)).To(BeNil())
 	g.Expect(p.Pick(now.Add(time.Second), config.Pools["p"], nil)).NotTo(BeNil())
@@ -148,7 +148,7 @@
 		if u.ID == "i-0" {
 			outcome = fleet.Failed
 		}
-		u.End(now, outcome)
+		p.Fleet.End(now, u, outcome)
 	}
 	g.Expect(count["i-0"]).To(BeNumerically("<", 10))
 }
@@ -217,7 +217,7 @@
 	p, _, _ := build(2, pool, nil)
 	now := time.Now()
 	slow := p.Pick(now, pool, nil)
-	slow.End(now, fleet.Sound)
+	p.Fleet.End(now, slow, fleet.Sound)
 	p.Fleet.Beat(nil, map[uint64]float64{slow.Key: 5})
 	for range 7 {
 		g.Expect(p.Pick(now, pool, nil)).NotTo(Equal(slow))
--- a/gate/process/fleet/pick.go
+++ b/gate/process/fleet/pick.go
@@ -38,7 +38,7 @@
 
 // Pick returns the least loaded sound upstream of the pool that has a free
 // place, or nil. Those in tried are left out. It counts a request at the
-// upstream, as Begin does.
+// upstream, as Fleet.Begin does.
 func (p *Picker) Pick(now time.Time, pool *core.PoolConfig, tried []*Upstream) *Upstream {
 	list := p.Fleet.Snapshot().Pools[pool.Name]
 	for range list {
@@ -47,7 +47,7 @@
 			return nil
 		}
 		if u.admitCold(now, p.coldShare(pool)) {
-			u.Begin()
+			p.Fleet.Begin(u)
 			return u
 		}
 		tried = append(slices.Clip(tried), u)
--- a/gate/process/fleet/upstream.go
+++ b/gate/process/fleet/upstream.go
@@ -107,12 +107,8 @@
 // this one gets no more work.
 func (u *Upstream) SetGone() { u.gone.Store(true) }
 
-// Begin counts a request that is about to be sent.
-func (u *Upstream) Begin() { u.own.Add(1) }
-
-// End counts the end of a request and its outcome.
-func (u *Upstream) End(now time.Time, o Outcome) {
-	u.own.Add(-1)
+// observe takes note of the outcome of a request.
+func (u *Upstream) observe(now time.Time, o Outcome) {
 	if o == Neutral {
 		return
 	}
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -22,9 +22,14 @@
 )
 
 const (
-	// period is the time between two beats. A request stays at an upstream for
-	// a few hundred milliseconds.
+	// period is the time between two beats of a gate whose load does not change.
 	period = 100 * time.Millisecond
+	// changeSpacing is the least time between beats that tell of a changed load,
+	// for each nearPeers peers: gates that choose by outdated loads put up to
+	// 2.3 sequences more on one rank than on the mean, and all ranks wait for it.
+	// With many peers a gate then receives no more beats than at the period.
+	changeSpacing = 20 * time.Millisecond
+	nearPeers     = 8
 	// perPeriod bounds the datagrams that a gate sends in a period: with more
 	// peers, each hears from it less often.
 	perPeriod = 16
@@ -32,8 +37,10 @@
 	passedOn = 4
 	// paceUnit is a pace of one in a beat.
 	paceUnit = 100
-	// maxDatagram bounds a beat.
+	// maxDatagram bounds a beat, and maxLoads the loads in it, each of which takes
+	// at most 16 bytes.
 	maxDatagram = 8 << 10
+	maxLoads    = 400
 )
 
 // Gossip exchanges beats. Its exported fields are set before Run.
@@ -45,7 +52,8 @@
 	Zone        string
 	Incarnation uint64
 	Trail       *trail.Trail
-	// Load and Known fill in a beat.
+	// Load and Known fill in a beat. Of more than maxLoads loads, others are told
+	// each time.
 	Load func() map[uint64]int
 	// Paces returns the paces of the upstreams that this gate knows to be slow.
 	Paces func() map[uint64]float64
@@ -59,6 +67,7 @@
 
 	once      sync.Once
 	announced chan struct{}
+	changed   chan struct{}
 
 	mu      sync.Mutex
 	conn    *net.UDPConn
@@ -78,35 +87,63 @@
 	g.mu.Unlock()
 	done := make(chan struct{})
 	go func() { defer close(done); g.receive(conn) }()
-	tick := time.NewTicker(period)
-	defer tick.Stop()
+	g.beat(ctx)
+	_ = conn.Close()
+	<-done
+	return nil
+}
+
+// beat sends beats until ctx ends: at each period, and sooner when there is
+// something new.
+func (g *Gossip) beat(ctx context.Context) {
+	g.init()
+	due := time.NewTimer(period)
+	defer due.Stop()
 	var sequence uint64
+	var last time.Time
 	for {
-		sequence++
+		most := perPeriod
 		select {
 		case <-ctx.Done():
-			_ = conn.Close()
-			<-done
-			return nil
-		case <-tick.C:
-			g.send(sequence, perPeriod)
-		case <-g.news():
-			g.send(sequence, math.MaxInt)
+			return
+		case <-due.C:
+		case <-g.changed:
+			if wait := g.spacing() - time.Since(last); wait > 0 {
+				due.Reset(wait)
+				continue
+			}
+		case <-g.announced:
+			most = math.MaxInt
 		}
+		sequence++
+		last = time.Now()
+		g.send(sequence, most)
+		due.Reset(period)
 	}
 }
 
+// spacing returns the least time between beats that tell of a changed load.
+func (g *Gossip) spacing() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return min(period, changeSpacing*time.Duration(1+len(g.peers)/nearPeers))
+}
+
+// Changed has a beat sent soon, since the load has changed.
+func (g *Gossip) Changed() { g.init(); signal(g.changed) }
+
 // Announce has a beat sent to all peers at once, since there is something new.
-func (g *Gossip) Announce() {
+func (g *Gossip) Announce() { g.init(); signal(g.announced) }
+
+func signal(c chan struct{}) {
 	select {
-	case g.news() <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
-func (g *Gossip) news() chan struct{} {
-	g.once.Do(func() { g.announced = make(chan struct{}, 1) })
-	return g.announced
+func (g *Gossip) init() {
+	g.once.Do(func() { g.announced, g.changed = make(chan struct{}, 1), make(chan struct{}, 1) })
 }
 
 // send sends a beat to at most most peers.
@@ -115,12 +152,14 @@
 		Instance: g.Instance, Incarnation: g.Incarnation, Zone: g.Zone, Sequence: sequence,
 		Address: g.Listen.String(), Known: g.Known(), Leaving: g.Leaving(), Watching: g.Watching(),
 	}
-	for key, n := range g.Load() {
-		b.Loads = append(b.Loads, &wire.UpstreamLoad{Key: key, Inflight: uint32(n)})
-	}
 	for key, pace := range g.Paces() {
 		b.Loads = append(b.Loads, &wire.UpstreamLoad{Key: key, Pace: uint32(pace * paceUnit)})
 	}
+	for key, n := range g.Load() {
+		b.Loads = append(b.Loads, &wire.UpstreamLoad{Key: key, Inflight: uint32(n)})
+	}
+	// The order of a map is random, so others are left out each time.
+	b.Loads = b.Loads[:min(len(b.Loads), maxLoads)]
 	to, live := g.targets(sequence, most)
 	b.Peers = live
 	data, err := proto.Marshal(b)
--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,8 +15,8 @@
 	"parsleyroute.example/gate/process/gossip"
 )
 
-// node starts a gate's gossip and returns its end.
-func node(t *testing.T, name string, load map[uint64]int, seeds ...netip.AddrPort) (*gossip.Gossip, func()) {
+// gate returns a gate's gossip before its start.
+func gate(t *testing.T, name string, seeds ...netip.AddrPort) *gossip.Gossip {
 	t.Helper()
 	c, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
@@ -22,17 +24,32 @@
 	}
 	addr := netip.MustParseAddrPort(c.LocalAddr().String())
 	_ = c.Close()
-	g := &gossip.Gossip{
+	return &gossip.Gossip{
 		Listen: addr, Seeds: seeds, Instance: name, Incarnation: uint64(len(name)),
-		Load: func() map[uint64]int { return load }, Paces: func() map[uint64]float64 { return map[uint64]float64{uint64(len(name)): 2.5} }, Known: func() []*wire.KindRevision { return nil },
+		Load:    func() map[uint64]int { return nil },
+		Paces:   func() map[uint64]float64 { return map[uint64]float64{uint64(len(name)): 2.5} },
+		Known:   func() []*wire.KindRevision { return nil },
 		Leaving: func() bool { return false }, Watching: func() bool { return true }, OnBeat: func(netip.AddrPort, *wire.Beat) {},
 	}
+}
+
+// run starts a gate's gossip and returns its end.
+func run(t *testing.T, g *gossip.Gossip) func() {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = g.Run(ctx) }()
 	stop := func() { cancel(); <-done }
 	t.Cleanup(stop)
-	return g, stop
+	return stop
+}
+
+// node starts a gate's gossip with a load and returns its end.
+func node(t *testing.T, name string, load map[uint64]int, seeds ...netip.AddrPort) (*gossip.Gossip, func()) {
+	t.Helper()
+	g := gate(t, name, seeds...)
+	g.Load = func() map[uint64]int { return load }
+	return g, run(t, g)
 }
 
 // TestGatesFindEachOther guards against gates that only know their seeds, loads
@@ -71,3 +88,52 @@
 	g.Expect(c.Gates()).To(Equal(3), "a silent gate may still be sending")
 	g.Eventually(func() bool { _, _, silent := c.Present("bb"); return silent }, "4s").Should(BeTrue())
 }
+
+// TestChangedLoad guards against gates that choose by loads of up to a period
+// ago, and against as many beats as there are changes.
+func TestChangedLoad(t *testing.T) {
+	g := NewWithT(t)
+	var load atomic.Int64
+	a := gate(t, "a")
+	a.Load = func() map[uint64]int { return map[uint64]int{1: int(load.Load())} }
+	b := gate(t, "b", a.Listen)
+	var beats atomic.Int64
+	b.OnBeat = func(netip.AddrPort, *wire.Beat) { beats.Add(1) }
+	run(t, a)
+	run(t, b)
+	g.Eventually(b.Gates, "3s").Should(Equal(8), "gates assumed at the start")
+	g.Eventually(func() int64 { return beats.Load() }, "3s").Should(BeNumerically(">", 2))
+	sooner := 0
+	for i := range 20 {
+		load.Store(int64(i + 1))
+		a.Changed()
+		start := time.Now()
+		g.Eventually(func() int { return b.Remote()[1] }, "1s", "1ms").Should(Equal(i + 1))
+		if time.Since(start) < 60*time.Millisecond {
+			sooner++
+		}
+	}
+	g.Expect(sooner).To(BeNumerically(">=", 17), "changes known well within a period")
+	before := beats.Load()
+	for range 200 {
+		a.Changed()
+		time.Sleep(time.Millisecond)
+	}
+	g.Expect(beats.Load() - before).To(BeNumerically("<=", 16))
+}
+
+// TestManyLoads guards against beats that are not sent since the loads of all
+// back ends do not fit into a datagram.
+func TestManyLoads(t *testing.T) {
+	g := NewWithT(t)
+	loads := map[uint64]int{}
+	for i := range uint64(3000) {
+		loads[math.MaxUint64-i] = 1
+	}
+	a := gate(t, "a")
+	a.Load = func() map[uint64]int { return loads }
+	b := gate(t, "b", a.Listen)
+	run(t, a)
+	run(t, b)
+	g.Eventually(func() int { return len(b.Remote()) }, "3s").Should(BeNumerically(">", 300))
+}
--- a/gate/process/ranks/round.go
+++ b/gate/process/ranks/round.go
@@ -33,10 +33,11 @@
 	// easyShare is the part of the longest pause on time up to which passes have
 	// room: a burst to 1.7 times the requests leaves them on time. easySkew and
 	// easyMoveCost then take the places of leastSkew and moveCost, since a copy is
-	// priced and callers do not see the gain.
-	easyShare    = 0.5
-	easySkew     = 2
-	easyMoveCost = 3 * moveCost
+	// priced and callers do not see the gain. At a skew of 2 and three times the
+	// cost more sequences run at once, and a shift then makes them late.
+	easyShare    = 0.45
+	easySkew     = 1.5
+	easyMoveCost = 1.5 * moveCost
 	// rankSpare bounds the experts that one rank copies for a map, each of which
 	// takes a tenth of a second: a second map can follow.
 	rankSpare = 3
--- a/gate/request/relay/attempt.go
+++ b/gate/request/relay/attempt.go
@@ -69,7 +69,7 @@
 		// The caller's leaving ended the exchange.
 		res.outcome = fleet.Neutral
 	}
-	u.End(time.Now(), res.outcome)
+	t.r.Picker.Fleet.End(time.Now(), u, res.outcome)
 	if res.verdict == verdictLost && t.route.Kind == core.RouteStream && t.state.pulse.since() > stalledAfter {
 		t.r.Picker.Fleet.GroupSuspect(time.Now(), u)
 	}
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -16,8 +16,13 @@
 )
 
 const (
-	// controlPeriod is the time between updates of the load by other gates.
+	// controlPeriod is the time between looks at what changes with time, and
+	// heardSpacing the least time between updates of the load by other gates.
 	controlPeriod = 50 * time.Millisecond
+	heardSpacing  = 10 * time.Millisecond
+	// nearGates is the number of gates for which heardSpacing holds once: an
+	// update takes time in proportion to their number.
+	nearGates = 8
 	// sweepPeriod is the time between looks for idle connections.
 	sweepPeriod = 500 * time.Millisecond
 	// groupPeriod is the time between questions to a group that is down, and
@@ -58,7 +63,13 @@
 func (g *Gate) control(ctx context.Context) {
 	tick := time.NewTicker(controlPeriod)
 	defer tick.Stop()
-	var swept time.Time
+	var swept, updated time.Time
+	update := func() {
+		paces := g.gossip.SlowPaces()
+		maps.Copy(paces, g.slowRanks())
+		g.fleet.Beat(g.gossip.Remote(), paces)
+		updated = time.Now()
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -67,11 +78,13 @@
 			g.apply(s)
 		case s := <-g.Reloads:
 			g.gossip.Add(s.Seeds...)
+		case <-g.heard:
+			if time.Since(updated) > heardSpacing*time.Duration(1+g.fleet.Gates()/nearGates) {
+				update()
+			}
 		case now := <-tick.C:
 			g.fleet.SetGates(g.gossip.Gates())
-			paces := g.gossip.SlowPaces()
-			maps.Copy(paces, g.slowRanks())
-			g.fleet.Beat(g.gossip.Remote(), paces)
+			update()
 			g.relay.Tick()
 			if now.Sub(swept) > sweepPeriod {
 				g.fleet.Tick(now)
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -59,6 +59,8 @@
 	synced   atomic.Bool
 	draining atomic.Bool
 	states   chan view.State
+	// heard is signalled when another gate has told of its load.
+	heard chan struct{}
 }
 
 // Run serves until ctx ends, then drains.
@@ -108,11 +110,11 @@
 func (g *Gate) build(base context.Context) {
 	s := &g.Settings
 	s.complete()
-	g.states = make(chan view.State, 1)
+	g.states, g.heard = make(chan view.State, 1), make(chan struct{}, 1)
 	g.store = platform.NewStore(s.Store)
 	g.fleet = &fleet.Fleet{
 		Bounds: fleet.Bounds{ColdOvershoot: s.Cold.Overshoot, ColdSlack: s.Cold.Slack},
-		Trail:  g.Trail,
+		Trail:  g.Trail, OnLoad: func() { g.gossip.Changed() },
 	}
 	g.view = &view.View{
 		Feed: g.store, Decoder: platform.Decoder{}, Trail: g.Trail,
@@ -123,7 +125,13 @@
 	g.gossip = &gossip.Gossip{
 		Listen: s.Peers, Seeds: s.Seeds, Instance: s.Instance, Zone: s.Zone, Incarnation: start.Incarnation(),
 		Trail: g.Trail, Load: g.fleet.Loads, Paces: g.slowRanks, Known: g.view.Known, Leaving: g.draining.Load, Watching: g.view.Watching,
-		OnBeat: func(addr netip.AddrPort, b *wire.Beat) { g.view.Heard(base, addr, b.GetKnown()) },
+		OnBeat: func(addr netip.AddrPort, b *wire.Beat) {
+			g.view.Heard(base, addr, b.GetKnown())
+			select {
+			case g.heard <- struct{}{}:
+			default:
+			}
+		},
 	}
 	g.relay = &relay.Relay{
 		Protocol: platform.Protocol{}, Table: g.table.Load, Trail: g.Trail,
