Ask the store for the lease a third as often; one watcher a zone

Change: a contender reads the lease every three renewals while it hears the holder; it notices the end of one in a quarter of a renewal (beats, no call). The lease is renewed every 1.3 s and lasts 4 s. An instance counts as silent only if half of the other gates or more are heard. A gate need not follow the store if two gates of other zones do and one of its own.

--- a/core/process/lease/ended_test.go
+++ b/core/process/lease/ended_test.go
@@ -79,3 +79,47 @@
 		<-done2
 	})
 }
+
+// TestAliveHolder guards against a contender that reads the lease in each
+// renewal although it knows the holder to run, and against one that then notices
+// the holder's end late.
+func TestAliveHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var reads atomic.Int64
+		store := &memory.Store{Before: func(_ context.Context, op memory.Op, _ core.Key) error {
+			if op == memory.OpGet {
+				reads.Add(1)
+			}
+			return nil
+		}}
+		first := &lease.Lease{Store: store, Name: "ranks", Holder: "a/1", TTL: ttl, Renew: time.Second}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = first.Run(ctx) }()
+		time.Sleep(500 * time.Millisecond)
+		var ended atomic.Bool
+		second := &lease.Lease{
+			Store: store, Name: "ranks", Holder: "b/1", TTL: ttl, Renew: time.Second,
+			Ended: func(string) bool { return ended.Load() },
+			Alive: func(string) bool { return !ended.Load() },
+		}
+		ctx2, stop2 := context.WithCancel(t.Context())
+		done2 := make(chan struct{})
+		go func() { defer close(done2); _ = second.Run(ctx2) }()
+		time.Sleep(time.Second)
+		before := reads.Load()
+		time.Sleep(30 * time.Second)
+		if n := reads.Load() - before; n > 11 {
+			t.Errorf("%d reads in 30 renewals of a holder that is known to run", n)
+		}
+		ended.Store(true)
+		time.Sleep(600 * time.Millisecond)
+		if _, ok := second.Held(); !ok {
+			t.Error("the contender noticed the holder's end later than in half a renewal")
+		}
+		stop()
+		stop2()
+		<-done
+		<-done2
+	})
+}
--- a/core/process/lease/lease.go
+++ b/core/process/lease/lease.go
@@ -28,6 +28,12 @@
 	renewRatio = 4
 	// retryRatio makes attempts after a failure more frequent.
 	retryRatio = 4
+	// lookRatio is how often in a renewal a contender looks whether the holder has
+	// ended, without a call to the store.
+	lookRatio = 4
+	// aliveRatio is the number of renewals between the reads of a contender that
+	// knows the holder to run.
+	aliveRatio = 3
 	// releaseTimeout bounds the release when Run ends.
 	releaseTimeout = time.Second
 )
@@ -50,7 +56,10 @@
 	Renew time.Duration
 	// Ended reports whether another holder's process is known to have ended, so
 	// that its term need not be waited for; nil means that none is.
-	Ended  func(holder string) bool
+	Ended func(holder string) bool
+	// Alive reports whether another holder's process is known to run now, so that
+	// the store need not be asked in each renewal; nil means that none is.
+	Alive  func(holder string) bool
 	Logger log.Logger
 
 	term atomic.Pointer[term]
@@ -63,9 +72,10 @@
 	// it knows; its version is zero if there is none.
 	mine core.Object
 	// other is the last state that another process wrote, and since the time
-	// at which it was first read.
+	// at which it was first read. read is the time of the last read.
 	other core.Object
 	since time.Time
+	read  time.Time
 	// pending maps the nonces of writes whose outcome is unknown to the times
 	// before they were sent.
 	pending map[string]time.Time
@@ -110,7 +120,9 @@
 	l.defaults()
 	for {
 		wait := l.Renew
-		if err := l.attempt(ctx); err != nil && ctx.Err() == nil {
+		if l.mayRest() {
+			wait /= lookRatio
+		} else if err := l.attempt(ctx); err != nil && ctx.Err() == nil {
 			meter.Event("lease_errors")
 			level.Debug(l.Logger).Log("msg", "lease attempt failed", "lease", l.Name, "err", err)
 			wait /= retryRatio
@@ -139,6 +151,22 @@
 	l.pending = map[string]time.Time{}
 }
 
+// mayRest reports whether another process is known to hold the lease and the
+// store need not be asked yet.
+func (l *Lease) mayRest() bool {
+	if _, ok := l.Held(); ok || l.other.Version <= l.mine.Version {
+		return false
+	}
+	if l.Ended != nil && l.Ended(l.other.Writer) {
+		return false
+	}
+	rest := l.Renew
+	if l.Alive != nil && l.Alive(l.other.Writer) {
+		rest *= aliveRatio
+	}
+	return l.Clock.Now().Sub(l.read) < rest-l.Renew/(2*lookRatio)
+}
+
 // attempt renews the lease if it is held, and otherwise tries to acquire it.
 func (l *Lease) attempt(ctx context.Context) error {
 	if token, ok := l.Held(); ok {
@@ -224,6 +252,7 @@
 func (l *Lease) get(ctx context.Context) (core.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.Renew)
 	defer cancel()
+	l.read = l.Clock.Now()
 	return l.Store.Get(ctx, l.key())
 }
 
--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,10 +64,8 @@
 	g.Eventually(func() map[uint64]int { return c.Remote() }, "3s").Should(Equal(map[uint64]int{1: 5, 2: 1}))
 	g.Eventually(func() map[uint64]int { return a.Remote() }, "3s").Should(Equal(map[uint64]int{1: 3, 2: 1}))
 	g.Expect(c.SlowPaces()).To(Equal(map[uint64]float64{1: 2.5, 2: 2.5}))
-	incarnation, known, silent := c.Present("bb")
-	g.Expect(known).To(BeTrue())
-	g.Expect(silent).To(BeFalse())
-	g.Expect(incarnation).To(BeEquivalentTo(2))
+	g.Expect(c.Present("bb")).To(Equal(gossip.Presence{Known: true, Incarnation: 2, Heard: true}))
+	g.Expect(c.Present("dddd")).To(Equal(gossip.Presence{}))
 	first := 0
 	for _, n := range []*gossip.Gossip{a, b, c} {
 		if n.First(1) {
@@ -86,7 +85,7 @@
 	stopB()
 	g.Eventually(func() map[uint64]int { return c.Remote() }, "3s").Should(Equal(map[uint64]int{1: 2}))
 	g.Expect(c.Gates()).To(Equal(3), "a silent gate may still be sending")
-	g.Eventually(func() bool { _, _, silent := c.Present("bb"); return silent }, "4s").Should(BeTrue())
+	g.Eventually(func() gossip.Presence { return c.Present("bb") }, "4s").Should(Equal(gossip.Presence{Known: true, Incarnation: 2, Silent: true}))
 }
 
 // TestChangedLoad guards against gates that choose by loads of up to a period
@@ -137,3 +136,57 @@
 	run(t, b)
 	g.Eventually(func() int { return len(b.Remote()) }, "3s").Should(BeNumerically(">", 300))
 }
+
+// TestCutOff guards against a gate that takes the leader for ended although it
+// is itself cut off with few others, and then takes its lease when it is back.
+func TestCutOff(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := node(t, "a", nil)
+	names := []string{"bb", "ccc", "dddd", "eeeee"}
+	stops := map[string]func(){}
+	for _, n := range names {
+		_, stops[n] = node(t, n, nil, a.Listen)
+	}
+	for _, n := range names {
+		g.Eventually(func() bool { return a.Present(n).Heard }, "3s").Should(BeTrue(), n)
+	}
+	for _, n := range names[1:] {
+		stops[n]()
+	}
+	g.Eventually(func() bool { return a.Present("eeeee").Heard }, "3s").Should(BeFalse())
+	g.Consistently(func() bool { return a.Present("eeeee").Silent }, "500ms").Should(BeFalse(), "one of three others is heard")
+}
+
+// TestWatchers guards against gates of one zone that follow the store beside
+// those of other zones, each of which costs calls, and against a zone without
+// one.
+func TestWatchers(t *testing.T) {
+	g := NewWithT(t)
+	zones := []string{"x", "x", "x", "y", "y", "z"}
+	list := make([]*gossip.Gossip, 0, len(zones))
+	var seed []netip.AddrPort
+	for i, z := range zones {
+		n := gate(t, "gate"+strings.Repeat("+", i), seed...)
+		n.Zone = z
+		n.Watching = func() bool { return n.Leads() }
+		seed = []netip.AddrPort{n.Listen}
+		if i > 0 {
+			seed = []netip.AddrPort{list[0].Listen}
+		}
+		list = append(list, n)
+	}
+	for _, n := range list {
+		run(t, n)
+	}
+	watchers := func() map[string]int {
+		m := map[string]int{}
+		for _, n := range list {
+			if n.Leads() {
+				m[n.Zone]++
+			}
+		}
+		return m
+	}
+	g.Eventually(watchers, "6s", "100ms").Should(Equal(map[string]int{"x": 1, "y": 1, "z": 1}))
+	g.Consistently(watchers, "1s", "100ms").Should(Equal(map[string]int{"x": 1, "y": 1, "z": 1}))
+}
--- a/gate/process/gossip/roster.go
+++ b/gate/process/gossip/roster.go
@@ -144,17 +144,28 @@
 }
 
 // silentAfter is the time without a beat after which an instance that was heard
-// before counts as silent, while others are heard.
+// before counts as silent.
 const silentAfter = 700 * time.Millisecond
 
-// Present returns the incarnation that ran on an instance when it was last
-// heard, and whether it has been silent since while others were heard.
-func (g *Gossip) Present(instance string) (incarnation uint64, known, silent bool) {
+// Presence is what is known of an instance.
+type Presence struct {
+	// Known is set if the instance was heard since this gate's start, and
+	// Incarnation is then the one that it had last.
+	Known       bool
+	Incarnation uint64
+	// Heard is set if it was heard within silentAfter. Silent is set if it was
+	// not although half of the other gates or more were: this gate itself is then
+	// not the one that is cut off.
+	Heard, Silent bool
+}
+
+// Present returns what is known of an instance.
+func (g *Gossip) Present(instance string) Presence {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	var last *peer
-	others := false
+	others, heard := 0, 0
 	for _, p := range g.peers {
 		switch {
 		case p.beat == nil:
@@ -162,29 +173,41 @@
 			if last == nil || p.heard.After(last.heard) {
 				last = p
 			}
-		case now.Sub(p.heard) < silentAfter:
-			others = true
+		case !p.beat.GetLeaving():
+			others++
+			if now.Sub(p.heard) < silentAfter {
+				heard++
+			}
 		}
 	}
 	if last == nil {
-		return 0, false, false
+		return Presence{}
+	}
+	fresh := now.Sub(last.heard) < silentAfter
+	return Presence{
+		Known: true, Incarnation: last.beat.GetIncarnation(), Heard: fresh,
+		Silent: !fresh && heard > 0 && 2*heard >= others,
 	}
-	return last.beat.GetIncarnation(), true, others && now.Sub(last.heard) > silentAfter
 }
 
-// Leads reports whether this gate is to follow the store itself: too few gates
-// with an address below its own do.
+// Leads reports whether this gate is to follow the store itself: no gate of its
+// zone with an address below its own does, or too few gates in all.
 func (g *Gossip) Leads() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	zone, all := 0, 0
 	for a, p := range g.peers {
-		if p.beat.GetWatching() && !p.beat.GetLeaving() && now.Sub(p.heard) < watcherFresh && a.Compare(g.Listen) < 0 {
+		if !p.beat.GetWatching() || p.beat.GetLeaving() || now.Sub(p.heard) >= watcherFresh {
+			continue
+		}
+		// The gates of another zone follow for that zone, whatever their address.
+		own := p.beat.GetZone() == g.Zone
+		if !own || a.Compare(g.Listen) < 0 {
 			all++
-			if p.beat.GetZone() == g.Zone {
-				zone++
-			}
+		}
+		if own && a.Compare(g.Listen) < 0 {
+			zone++
 		}
 	}
 	return zone < zoneWatchers || all < allWatchers
--- a/gate/process/ranks/leader.go
+++ b/gate/process/ranks/leader.go
@@ -21,11 +21,13 @@
 const (
 	// leaseName names the lease of the leader of all groups.
 	leaseName = "ranks"
-	// leaseTTL is how long the groups may be without a leader after one has
-	// died; leaseRenew the time between its renewals, each of which is a call
-	// to the store.
-	leaseTTL   = 2400 * time.Millisecond
-	leaseRenew = 800 * time.Millisecond
+	// leaseTTL is how long the groups may be without a leader after one has died
+	// unnoticed; leaseRenew the time between its renewals, each of which is a
+	// call to the store. Mostly the other gates notice within a second.
+	leaseTTL   = 4 * time.Second
+	leaseRenew = leaseTTL / 3
+	// contendPeriod is the time between looks whether this gate contends.
+	contendPeriod = 500 * time.Millisecond
 )
 
 // Leader contends for the lease and balances all groups while it holds it. Its
@@ -44,6 +46,8 @@
 	Fenced bool
 	// Ended reports whether another contender's process is known to have ended.
 	Ended func(holder string) bool
+	// Alive reports whether another contender's process is known to run.
+	Alive func(holder string) bool
 	// PauseShare returns the part of the longest pause on time that the passes of
 	// a pool take, zero if it is unknown.
 	PauseShare func(pool string) float64
@@ -145,11 +149,11 @@
 func (l *Leader) contend(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !l.Contends() {
-			_ = clock.Real{}.Sleep(ctx, leaseRenew)
+			_ = clock.Real{}.Sleep(ctx, contendPeriod)
 			continue
 		}
 		lctx, cancel := context.WithCancel(ctx)
-		t := &lease.Lease{Store: l.Store, Name: leaseName, Holder: l.Holder, TTL: leaseTTL, Renew: leaseRenew, Ended: l.Ended}
+		t := &lease.Lease{Store: l.Store, Name: leaseName, Holder: l.Holder, TTL: leaseTTL, Renew: leaseRenew, Ended: l.Ended, Alive: l.Alive}
 		l.lease.Store(t)
 		done := make(chan struct{})
 		go func() {
@@ -159,7 +163,7 @@
 			}
 		}()
 		for ctx.Err() == nil && (l.Contends() || l.leads()) {
-			_ = clock.Real{}.Sleep(ctx, leaseRenew)
+			_ = clock.Real{}.Sleep(ctx, contendPeriod)
 		}
 		cancel()
 		<-done
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -39,15 +39,22 @@
 }
 
 // ended reports whether a contender need not be waited for: a later process runs
-// on its instance, or it is silent while others are heard. If it lives, the
+// on its instance, or it is silent while most others are heard. If it lives, the
 // ranks refuse its orders from then on.
 func (g *Gate) ended(other string) bool {
 	instance, _, _ := strings.Cut(other, "/")
 	if instance == g.Settings.Instance {
 		return other != holder(instance, g.gossip.Incarnation)
 	}
-	incarnation, known, silent := g.gossip.Present(instance)
-	return known && (silent && g.Settings.Fenced || other != holder(instance, incarnation))
+	p := g.gossip.Present(instance)
+	return p.Known && (p.Silent && g.Settings.Fenced || other != holder(instance, p.Incarnation))
+}
+
+// alive reports whether a contender's process is heard.
+func (g *Gate) alive(other string) bool {
+	instance, _, _ := strings.Cut(other, "/")
+	p := g.gossip.Present(instance)
+	return p.Heard && other == holder(instance, p.Incarnation)
 }
 
 // offer hands a state to the control goroutine. Only the newest counts.
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -143,7 +143,7 @@
 	g.leader = &ranks.Leader{
 		Ranks: g.ranks, Direct: workers,
 		Store: g.store, Trail: g.Trail, Holder: holder(s.Instance, g.gossip.Incarnation),
-		Fenced: s.Fenced, Ended: g.ended,
+		Fenced: s.Fenced, Ended: g.ended, Alive: g.alive,
 		PauseShare: g.fleet.PauseShare,
 		Contends:   func() bool { return !g.draining.Load() && g.gossip.First(contenders) },
 	}
