Share the budget of cold workers among any number of gates

A gate's share was at least one request a second, and 36 gates may send 36; for its first 3 s a gate assumed 8 gates, whose share is 2.

Change: with less than one request a second for each gate, a hash of gate and worker tells which gates send to which cold worker. A starting gate assumes as many gates as have registered in the store. The share of a worker's connections follows the number of gates; it was computed once, at the start, for one gate.

Tests: 36 gates before 63 cold workers (36 requests a second at each before); a share of connections (40 instead of 10 before); gates assumed at the start.

--- a/gate/conn/outlet/pool.go
+++ b/gate/conn/outlet/pool.go
@@ -32,15 +32,22 @@
 // use. Its exported fields are set before use.
 type Pool struct {
 	Addr netip.AddrPort
-	// Most bounds the open connections; zero means no bound.
-	Most int
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// most bounds the open connections; zero means no bound.
+	most   int
 	idle   []*Conn
 	open   int
 	closed bool
 }
 
+// SetMost bounds the open connections from now on; zero means no bound.
+func (p *Pool) SetMost(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = n
+}
+
 // Get returns a connection that has been idle for no longer than maxIdle, or a
 // new one. fresh is set for a new one. Its errors are trace.LimitExceeded if
 // too many connections are open, and trace.ConnectionProblem if the upstream
@@ -50,9 +57,9 @@
 		return c, false, nil
 	}
 	p.mu.Lock()
-	if p.Most > 0 && p.open >= p.Most {
+	if most := p.most; most > 0 && p.open >= most {
 		p.mu.Unlock()
-		return nil, false, trace.LimitExceeded("%d connections to %s are open", p.Most, p.Addr)
+		return nil, false, trace.LimitExceeded("%d connections to %s are open", most, p.Addr)
 	}
 	p.open++
 	p.mu.Unlock()
--- a/gate/process/fleet/fleet.go
+++ b/gate/process/fleet/fleet.go
@@ -22,9 +22,16 @@
 	ColdSlack     float64
 }
 
-// coldShare is the part of the allowed rate to cold upstreams that is used, so
-// that requests which bunch up on the way stay below it.
-const coldShare = 0.8
+const (
+	// coldShare is the part of the allowed rate to cold upstreams that is used, so
+	// that requests which bunch up on the way stay below it.
+	coldShare = 0.8
+	// fewShare is the part of that which is used where it is less than one request
+	// a second for each gate. Chance then tells which gates send to an upstream,
+	// and with 36 gates before a rate of 26 their number stays below it by 3.5
+	// standard deviations.
+	fewShare = 0.75
+)
 
 // returnedCold is how long the upstreams of a zone count as cold after the zone
 // was taken back, until their entries tell whether they are.
@@ -70,8 +77,16 @@
 }
 
 // SetGates sets the number of gates that may be sending, which share the
-// budgets for cold upstreams.
-func (f *Fleet) SetGates(n int) { f.gates.Store(int64(max(1, n))) }
+// budgets for cold upstreams and the connections. It belongs to the control
+// goroutine.
+func (f *Fleet) SetGates(n int) {
+	if f.gates.Swap(int64(max(1, n))) == int64(max(1, n)) {
+		return
+	}
+	for _, u := range f.upstreams {
+		u.Conn.SetMost(f.mostConnections(u.Peer().Pool))
+	}
+}
 
 // Gates returns the number of gates that may be sending.
 func (f *Fleet) Gates() int { return int(max(1, f.gates.Load())) }
@@ -114,11 +129,8 @@
 func (f *Fleet) updatePeer(now time.Time, id string, p *core.Peer) {
 	u := f.upstreams[id]
 	if u == nil {
-		most := 0
-		if pool := f.pool(p.Pool); pool != nil && pool.Connections > 0 {
-			most = max(minConnections, pool.Connections/f.Gates())
-		}
-		u = newUpstream(p, &outlet.Pool{Addr: p.Addr, Most: most})
+		u = newUpstream(p, &outlet.Pool{Addr: p.Addr})
+		u.Conn.SetMost(f.mostConnections(p.Pool))
 		f.upstreams[id] = u
 		f.Trail.Log("upstream_listed", "upstream", id, "pool", p.Pool, "address", p.Addr, "zone", p.Zone, "draining", p.Draining, "cold", p.Cold)
 	}
@@ -135,6 +147,16 @@
 // gate's share of a small bound does not round to nothing.
 const minConnections = 8
 
+// mostConnections returns this gate's share of the connections that an upstream
+// of the pool accepts, zero if they are not bounded.
+func (f *Fleet) mostConnections(pool string) int {
+	p := f.pool(pool)
+	if p == nil || p.Connections <= 0 {
+		return 0
+	}
+	return max(minConnections, p.Connections/f.Gates())
+}
+
 func (f *Fleet) updateZones(now time.Time, out map[string]bool) {
 	for zone := range f.out {
 		if out[zone] {
--- a/gate/process/fleet/fleet_test.go
+++ b/gate/process/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -80,6 +81,53 @@
 	}
 }
 
+// TestColdBudgetManyGates guards against gates that together send more to a cold
+// upstream than it bears although each sends only one request a second.
+func TestColdBudgetManyGates(t *testing.T) {
+	g := NewWithT(t)
+	pool := &core.PoolConfig{Name: "p", ColdRate: 14}
+	const gates, upstreams = 36, 63
+	got := map[string]int{}
+	served := 0
+	now := time.Now()
+	for i := range gates {
+		p, _, _ := build(upstreams, pool, func(_ int, p *core.Peer) { p.Cold, p.Slots = 3*time.Second, 1000 })
+		p.Fleet.SetGates(gates)
+		p.Key = uint64(i + 1)
+		n := 0
+		for u := p.Pick(now, pool, nil); u != nil; u = p.Pick(now, pool, nil) {
+			got[u.ID]++
+			n++
+		}
+		served = max(served, n)
+		g.Expect(n).To(BeNumerically(">", 10), "gate %d has too few upstreams", i)
+	}
+	for id, n := range got {
+		g.Expect(n).To(BeNumerically("<=", 14*1.5+5), id)
+	}
+	g.Expect(served).To(BeNumerically(">", 20))
+}
+
+// TestConnectionsShared guards against gates that each open as many connections
+// to an upstream as it accepts from all.
+func TestConnectionsShared(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	pool := &core.PoolConfig{Name: "p", Connections: 40}
+	p, _, _ := build(1, pool, func(_ int, p *core.Peer) { p.Addr = netip.MustParseAddrPort(l.Addr().String()) })
+	p.Fleet.SetGates(4)
+	conns := p.Fleet.Snapshot().ByID["i-0"].Conn
+	n := 0
+	for ; n < 40; n++ {
+		if _, _, err := conns.Get(t.Context(), time.Second); err != nil {
+			break
+		}
+	}
+	g.Expect(n).To(Equal(10))
+}
+
 // TestZoneOut guards against work for a zone that operators have taken out, and
 // against a full load on its upstreams, which may be cold, when it is back.
 func TestZoneOut(t *testing.T) {
--- a/gate/process/fleet/pick.go
+++ b/gate/process/fleet/pick.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"parsleyroute.example/core"
 )
 
@@ -34,6 +37,8 @@
 	Fleet *Fleet
 	// Zone is the gate's own zone.
 	Zone string
+	// Key tells the gates apart.
+	Key uint64
 }
 
 // Pick returns the least loaded sound upstream of the pool that has a free
@@ -46,7 +51,7 @@
 		if u == nil {
 			return nil
 		}
-		if u.admitCold(now, p.coldShare(pool)) {
+		if u.admitCold(now, p.coldShare(u, pool)) {
 			p.Fleet.Begin(u)
 			return u
 		}
@@ -55,12 +60,27 @@
 	return nil
 }
 
-// coldShare returns the requests a second that this gate may send to one cold
-// upstream.
-func (p *Picker) coldShare(pool *core.PoolConfig) int {
+// coldShare returns the requests a second that this gate may send to the
+// upstream while it is cold. If the allowed rate is less than one for each gate,
+// only some of the gates send to it, others to each upstream.
+func (p *Picker) coldShare(u *Upstream, pool *core.PoolConfig) int {
 	b := p.Fleet.Bounds
-	all := (pool.ColdRate*b.ColdOvershoot + b.ColdSlack) * coldShare
-	return max(1, int(all/float64(p.Fleet.Gates())))
+	share := (pool.ColdRate*b.ColdOvershoot + b.ColdSlack) * coldShare / float64(p.Fleet.Gates())
+	if share >= 1 {
+		return int(share)
+	}
+	if draw(p.Key, u.Key) < share*fewShare {
+		return 1
+	}
+	return 0
+}
+
+// draw returns a number in [0, 1) that depends on the two keys only.
+func draw(a, b uint64) float64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], a)
+	binary.LittleEndian.PutUint64(buf[8:], b)
+	return float64(xxhash.Sum64(buf[:])>>11) / (1 << 53)
 }
 
 func (p *Picker) best(now time.Time, pool *core.PoolConfig, list, tried []*Upstream) *Upstream {
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -73,6 +73,8 @@
 	conn    *net.UDPConn
 	peers   map[netip.AddrPort]*peer
 	started time.Time
+	// registered is the number of gates that have registered in the store.
+	registered int
 }
 
 // Run exchanges beats until ctx ends.
--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -190,3 +190,15 @@
 	g.Eventually(watchers, "6s", "100ms").Should(Equal(map[string]int{"x": 1, "y": 1, "z": 1}))
 	g.Consistently(watchers, "1s", "100ms").Should(Equal(map[string]int{"x": 1, "y": 1, "z": 1}))
 }
+
+// TestRegisteredGates guards against budgets of gates that all start at once and
+// each assume too few others.
+func TestRegisteredGates(t *testing.T) {
+	g := NewWithT(t)
+	a := gate(t, "a")
+	run(t, a)
+	g.Eventually(a.Gates, "1s").Should(Equal(8))
+	a.Registered(36)
+	g.Expect(a.Gates()).To(Equal(36))
+	g.Eventually(a.Gates, "4s").Should(Equal(1))
+}
--- a/gate/process/gossip/roster.go
+++ b/gate/process/gossip/roster.go
@@ -15,8 +15,8 @@
 	// memory is how long a silent peer is still counted as one that may be
 	// sending, for the budgets that all gates share.
 	memory = 30 * time.Second
-	// startGates is the number of gates assumed for the first startTime, before
-	// their beats have been heard.
+	// startGates is the least number of gates assumed for the first startTime,
+	// before their beats have been heard.
 	startGates = 8
 	startTime  = 3 * time.Second
 )
@@ -124,11 +124,19 @@
 		}
 	}
 	if time.Since(g.started) < startTime {
-		n = max(n, startGates)
+		n = max(n, startGates, g.registered)
 	}
 	return n
 }
 
+// Registered takes note of how many gates have ever registered. So many are
+// assumed at the start, when the others may have started as well.
+func (g *Gossip) Registered(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registered = n
+}
+
 // First reports whether fewer than n living gates that are not leaving have an
 // address below this one's.
 func (g *Gossip) First(n int) bool {
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -162,6 +162,7 @@
 		Key:    core.Key{Kind: core.KindInstance, Name: g.Settings.Instance},
 		Writer: g.Settings.Instance, Value: []byte(g.Settings.Peers.String()),
 	}
+	g.gossip.Registered(len(list))
 	write := g.store.Create
 	for _, o := range list {
 		if o.Name == own.Name {
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/conn/server"
 	"parsleyroute.example/core/process/beside"
@@ -135,7 +137,7 @@
 	}
 	g.relay = &relay.Relay{
 		Protocol: platform.Protocol{}, Table: g.table.Load, Trail: g.Trail,
-		Picker: &fleet.Picker{Fleet: g.fleet, Zone: s.Zone},
+		Picker: &fleet.Picker{Fleet: g.fleet, Zone: s.Zone, Key: xxhash.Sum64String(s.Instance)},
 		Bounds: relay.Bounds{RetryRatio: s.Retry.Ratio, RetryBurst: s.Retry.Burst, RetryWindow: s.Retry.Window.Duration},
 	}
 	workers := platform.NewWorkers()
