--- a/fakes/main.go
+++ b/fakes/main.go
@@ -37,7 +37,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(platform(), engine(), service(), faults(), group())
+	root.AddCommand(platform(), engine(), service(), faults(), group(), deployment())
 	return root
 }
 
