Log no negative time to come back

Cause: a request refused after its deadline was logged with retry_after -0.066; the header was left out already.

--- a/gate/request/relay/refuse.go
+++ b/gate/request/relay/refuse.go
@@ -86,7 +86,7 @@
 // tells the caller when to come back; zero leaves that open.
 func (t *trip) refuse(status int, reason core.Reason, message string, after time.Duration) {
 	if !t.deadline.IsZero() && after > 0 {
-		after = min(after, time.Until(t.deadline)/retryPart)
+		after = max(0, min(after, time.Until(t.deadline)/retryPart))
 	}
 	t.respond(status, reason, core.RunNo, message, after)
 }
