Do not wait for a pool that has been down for 12 s

Ruled out: many workers (936 plain ones beside a whole group serve as usual), beats that are not sent (a gate has tens of requests, not thousands, in one).

--- a/gate/request/relay/relay.go
+++ b/gate/request/relay/relay.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -31,6 +33,10 @@
 	Picker *fleet.Picker
 	Bounds Bounds
 	Trail  *trail.Trail
+	// LongDown is how long a pool must have had no upstream for its requests to be
+	// refused without a wait; zero means 12 s, which is longer than it takes a
+	// group of ranks to form anew after a zone was cut off (4 to 9 s were seen).
+	LongDown time.Duration
 
 	mu    sync.Mutex
 	pools map[string]*poolState
@@ -41,8 +47,30 @@
 	queue  *admit.Queue
 	budget *Budget
 	pulse  pulse
+	// downSince is when a request first found no upstream that may take work, as
+	// the time since epoch, zero if the last one did.
+	downSince atomic.Int64
 }
 
+// defaultLongDown is the default of Relay.LongDown.
+const defaultLongDown = 12 * time.Second
+
+// downFor takes note of whether the pool has an upstream now, and returns for how
+// long it has had none.
+func (p *poolState) downFor(now time.Time, down bool) time.Duration {
+	if !down {
+		p.downSince.Store(0)
+		return 0
+	}
+	at := int64(now.Sub(epoch))
+	if p.downSince.CompareAndSwap(0, at) {
+		return 0
+	}
+	return time.Duration(at - p.downSince.Load())
+}
+
+func (r *Relay) longDown() time.Duration { return cmp.Or(r.LongDown, defaultLongDown) }
+
 func (r *Relay) pool(name string) *poolState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gate/request/relay/relay_test.go
+++ b/gate/request/relay/relay_test.go
@@ -493,6 +493,24 @@
 		Expect(string(raw)).NotTo(HaveSuffix("0\r\n\r\n"))
 	})
 
+	// Guards against requests that are held for a group that has been down for
+	// long, and against a wait that does not begin again after it was open.
+	It("does not wait for a group that has been down for long", func() {
+		s := open(func(c *worker.Conn, a *worker.Arrival) { c.Refuse(a, 503, "10.0.0.9:1") })
+		s.server.Handler.(*relay.Relay).LongDown = 500 * time.Millisecond
+		took := func() time.Duration {
+			start := time.Now()
+			res, _, err := s.call("/stream/", "")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			return time.Since(start)
+		}
+		Expect(took()).To(BeNumerically(">", time.Second))
+		Expect(took()).To(BeNumerically("<", 300*time.Millisecond))
+		s.fleet.GroupOpen(time.Now(), group, 2, "test")
+		Expect(took()).To(BeNumerically(">", time.Second))
+	})
+
 	// Guards against requests that are refused although their group is back
 	// within the caller's patience, and against a group that is asked again by
 	// each request while it is down.
--- a/gate/request/relay/trip.go
+++ b/gate/request/relay/trip.go
@@ -136,9 +136,11 @@
 // hold returns until when the request waits for a place.
 func (t *trip) hold(now time.Time) time.Time {
 	at := now.Add(time.Duration(fullHold * float64(t.route.Objective)))
-	if t.r.Picker.State(now, t.pool) == fleet.Down {
+	down := t.r.Picker.State(now, t.pool) == fleet.Down
+	long := t.state.downFor(now, down) > t.r.longDown()
+	if down {
 		at = now.Add(t.route.Objective / downHold)
-		if t.route.Kind == core.RouteStream {
+		if t.route.Kind == core.RouteStream && !long {
 			// A group of ranks that has lost one is back after seconds.
 			at = t.patience()
 		}
