Release only the hold of the switch that was found

The leader's hold at pass 208 lasted 176 ms, since answers to its orders were lost, so a contender began to end that switch. The leader released it itself and held pass 211 for the next one. The contender, still repeating an order of the old switch, then read the hold again and released whatever it found: pass 211 began with a rank that was not armed. The ranks had two maps from then on and no further map was planned.

Change: a contender releases only a hold at or before the pass of the switch that it found. The test failed before (pass 211: rank 1 uses map 20, rank 0 map 10).

Also: the gates of a zone take over the watch one after the other (0.3 s, then 1 s apart), and only seeds contend for the lease in a process's first 0.3 s: all gates called the store in an outage and at their start.

--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -73,6 +73,8 @@
 	conn    *net.UDPConn
 	peers   map[netip.AddrPort]*peer
 	started time.Time
+	// lacking is when watchers were first found to be lacking, zero if none are.
+	lacking time.Time
 	// registered is the number of gates that have registered in the store.
 	registered int
 }
@@ -246,4 +248,11 @@
 	allWatchers  = 2
 	// watcherFresh is the age up to which a watcher's beat counts.
 	watcherFresh = 700 * time.Millisecond
+	// nextTakeover is the time between the gates of a zone that take over the
+	// watch one after the other: a watch is answered in milliseconds, or has
+	// failed. After soonTakeovers of them the store is away for the zone rather
+	// than for single gates, and the next wait laterTakeover.
+	nextTakeover  = 300 * time.Millisecond
+	soonTakeovers = 2
+	laterTakeover = time.Second
 )
--- a/gate/process/gossip/roster.go
+++ b/gate/process/gossip/roster.go
@@ -19,6 +19,9 @@
 	// before their beats have been heard.
 	startGates = 8
 	startTime  = 3 * time.Second
+	// seedsFirst is the time after the start in which only seeds contend: beats
+	// arrive within two periods, and all gates may start together.
+	seedsFirst = 300 * time.Millisecond
 )
 
 type peer struct {
@@ -138,10 +141,15 @@
 }
 
 // First reports whether fewer than n living gates that are not leaving have an
-// address below this one's.
+// address below this one's. Before the others can have been heard, only seeds
+// count as first.
 func (g *Gossip) First(n int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	starting := g.started.IsZero() || time.Since(g.started) < seedsFirst
+	if starting && len(g.Seeds) > 0 && !g.seed(g.Listen) {
+		return false
+	}
 	below := 0
 	for a, p := range g.peers {
 		if !p.lost && !p.beat.GetLeaving() && a.Compare(g.Listen) < 0 {
@@ -199,24 +207,43 @@
 }
 
 // Leads reports whether this gate is to follow the store itself: no gate of its
-// zone with an address below its own does, or too few gates in all.
+// zone with an address below its own does, or too few gates in all. The gates of
+// a zone begin one after the other, so that an outage of the store does not have
+// all of them call it.
 func (g *Gossip) Leads() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	zone, all := 0, 0
+	zone, all, before := 0, 0, 0
 	for a, p := range g.peers {
-		if !p.beat.GetWatching() || p.beat.GetLeaving() || now.Sub(p.heard) >= watcherFresh {
+		if p.beat == nil || p.beat.GetLeaving() || now.Sub(p.heard) >= watcherFresh {
 			continue
 		}
 		// The gates of another zone follow for that zone, whatever their address.
-		own := p.beat.GetZone() == g.Zone
-		if !own || a.Compare(g.Listen) < 0 {
+		own, watching := p.beat.GetZone() == g.Zone, p.beat.GetWatching()
+		below := a.Compare(g.Listen) < 0
+		if watching && (!own || below) {
 			all++
 		}
-		if own && a.Compare(g.Listen) < 0 {
-			zone++
+		if own && below {
+			before++
+			if watching {
+				zone++
+			}
 		}
 	}
-	return zone < zoneWatchers || all < allWatchers
+	if zone >= zoneWatchers && all >= allWatchers {
+		g.lacking = time.Time{}
+		return false
+	}
+	if g.lacking.IsZero() {
+		g.lacking = now
+	}
+	return now.Sub(g.lacking) >= takeover(before)
+}
+
+// takeover returns for how long watchers must have been lacking before a gate
+// follows the store, with so many gates of its zone before it.
+func takeover(before int) time.Duration {
+	return nextTakeover*time.Duration(min(before, soonTakeovers)) + laterTakeover*time.Duration(max(0, before-soonTakeovers))
 }
--- a/gate/process/ranks/model_test.go
+++ b/gate/process/ranks/model_test.go
@@ -325,3 +325,57 @@
 	delete(peers, "same")
 	g.Expect(Specs(config, peers)["g"].complete()).To(BeFalse())
 }
+
+// overtaken is the way of a contender that ends a switch while its leader goes
+// on: before the contender looks at the hold again, the leader has released it
+// and holds the group for its next switch.
+type overtaken struct {
+	*leader
+	next func()
+	once sync.Once
+}
+
+func (o *overtaken) Report(ctx context.Context, rank core.RankAddr, counts bool) (core.RankReport, error) {
+	if rank.Engine.Port() == holder {
+		o.once.Do(o.next)
+	}
+	return o.leader.Report(ctx, rank, counts)
+}
+
+// TestFinishLeavesTheNextHold guards against a contender that, late with the end
+// of one switch, releases the hold of the next one before all ranks are armed.
+func TestFinishLeavesTheNextHold(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(1, 3, 0)
+	s.step = 207
+	order := func(rank int, o core.RankOrder) {
+		o.Epoch, o.Token = s.epoch, 1
+		g.Expect(s.apply(rank, o)).To(Succeed())
+	}
+	for i := range s.ranks {
+		order(i, core.RankOrder{Verb: core.RankPrepare, Map: 10})
+	}
+	order(holder, core.RankOrder{Verb: core.RankHold, Step: 208})
+	for i := range s.ranks {
+		order(i, core.RankOrder{Verb: core.RankArm, Map: 10, Step: 208})
+	}
+	l := &leader{sim: s}
+	next := func() {
+		order(holder, core.RankOrder{Verb: core.RankRelease, Step: 208})
+		for s.step < 210 {
+			s.pass()
+		}
+		for i := range s.ranks {
+			order(i, core.RankOrder{Verb: core.RankPrepare, Map: 20})
+		}
+		order(holder, core.RankOrder{Verb: core.RankHold, Step: 211})
+		order(1, core.RankOrder{Verb: core.RankArm, Map: 20, Step: 211})
+	}
+	contender := s.group(l, 1, 22)
+	contender.ranks = &overtaken{leader: l, next: next}
+	found := &unfinished{armed: 3, version: 10, step: 208, held: []int{holder}}
+	g.Expect(contender.finish(t.Context(), found)).To(Succeed())
+	s.pass()
+	g.Expect(s.broken).To(BeEmpty())
+	g.Expect(s.step).To(BeEquivalentTo(210), "the group is held")
+}
--- a/gate/process/ranks/recover.go
+++ b/gate/process/ranks/recover.go
@@ -83,7 +83,9 @@
 		if err != nil {
 			return err
 		}
-		if !r.Held || r.Epoch != g.epoch {
+		// A hold at a later pass is that of the next switch, whose ranks may not
+		// be armed yet.
+		if !r.Held || r.Epoch != g.epoch || r.HeldStep > u.step {
 			continue
 		}
 		if err := g.confirm(ctx, rank, core.RankOrder{Verb: core.RankRelease, Step: r.HeldStep}); err != nil {
