Assume the gates of a start before the first beat

Cause, found on reading: until its first tick, 50 ms after the start, a gate shared the budget of cold workers and their connections with no other gate.

Change: the number of gates is set before the gate takes up its work. The test failed before (1 gate before the first beat).

--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -200,8 +200,9 @@
 func TestRegisteredGates(t *testing.T) {
 	g := NewWithT(t)
 	a := gate(t, "a")
+	g.Expect(a.Gates()).To(Equal(8), "before the first beat")
 	run(t, a)
-	g.Eventually(a.Gates, "1s").Should(Equal(8))
+	g.Expect(a.Gates()).To(Equal(8))
 	a.Registered(36)
 	g.Expect(a.Gates()).To(Equal(36))
 	g.Eventually(a.Gates, "4s").Should(Equal(1))
--- a/gate/process/gossip/roster.go
+++ b/gate/process/gossip/roster.go
@@ -126,7 +126,7 @@
 			n++
 		}
 	}
-	if time.Since(g.started) < startTime {
+	if g.started.IsZero() || time.Since(g.started) < startTime {
 		n = max(n, startGates, g.registered)
 	}
 	return n
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -68,6 +68,7 @@
 
 // control owns the fleet.
 func (g *Gate) control(ctx context.Context) {
+	g.fleet.SetGates(g.gossip.Gates())
 	tick := time.NewTicker(controlPeriod)
 	defer tick.Stop()
 	var swept, updated time.Time
