Let one piece of code serve where the platform's part had two

Behaviour is as before.

One piece for two: the command line and the end of a program (start.command, start.execute, for Program and Small), the check of instance and zone (conf.Place, three copies), a header line (core.AppendField, two copies), what remains to be done with a request that could not be read (inlet), the loads of fresh beats (gossip), the dialer, the entries, configuration and gate settings of the load run and of the soak (fakes/process/site), set-up in tests of leases and of expert maps. maps.Clone and clock.Sleep replace loops of their own.

Dead: fields that were decoded and never read (token counts, an answer's load, five of an engine), which cost work on each request and answer; Exchange.Caller and outlet's SetReadDeadline; a method around a flag, an unused parameter.

Wrong place: the Connection field was looked up once for each header field of a request.

Left as it is: 'only the newest counts' on a channel stands in start.reload and Gate.offer, four lines each in two modules; the state of a pool is computed for each request although only one that waits needs it, which admit.Queue would have to ask for.

--- a/core/conn/dial/dial.go
+++ b/core/conn/dial/dial.go
@@ -21,10 +21,11 @@
 	UserTimeout = 4 * time.Second
 )
 
+var dialer = net.Dialer{Timeout: Timeout, KeepAlive: -1, Control: control}
+
 // TCP opens a connection to addr.
 func TCP(ctx context.Context, addr netip.AddrPort) (*net.TCPConn, error) {
-	d := net.Dialer{Timeout: Timeout, KeepAlive: -1, Control: control}
-	c, err := d.DialContext(ctx, "tcp", addr.String())
+	c, err := dialer.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, err
 	}
@@ -34,8 +35,7 @@
 // Func opens a connection to an address in text form, as fasthttp's clients
 // ask for it.
 func Func(addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: Timeout, KeepAlive: -1, Control: control}
-	return d.Dial("tcp", addr)
+	return dialer.Dial("tcp", addr)
 }
 
 func control(_, _ string, c syscall.RawConn) error {
--- a/core/direct.go
+++ b/core/direct.go
@@ -81,19 +81,12 @@
 type EngineConfig struct {
 	// Slots is the number of sequences that run at once.
 	Slots int
-	// Memory is the size of the KV cache in tokens.
-	Memory int
 	// Stride is the number of token steps in one pass.
 	Stride int
 	// Step and PerSequence are the fixed time of a token step and that added by
 	// each running sequence.
 	Step        time.Duration
 	PerSequence time.Duration
-	// ReadRate is the number of prompt tokens read a second.
-	ReadRate float64
-	// UsualPrompt and UsualAnswer are mean token counts.
-	UsualPrompt int
-	UsualAnswer int
 	// Sets is the number of layer sets, Experts the number of experts in each,
 	// Places the number that a rank holds of a set, and Spare the number of
 	// experts of a set that may be new to a rank in one map. Sets is zero for
@@ -104,8 +97,6 @@
 	Spare   int
 	// ExpertShare is the part of a pass's work that the experts do.
 	ExpertShare float64
-	// Form is the time that a group takes to form anew.
-	Form time.Duration
 }
 
 // CallerLimits bound what a caller may send.
--- a/core/process/conf/node.go
+++ b/core/process/conf/node.go
@@ -50,13 +50,24 @@
 	Timeout Duration `toml:"timeout"`
 }
 
-// Check reports the first setting that is missing or out of range.
-func (n *Node) Check() error {
+// Place checks the settings that every program has: the name of its instance and
+// its availability zone.
+func Place(instance, zone string) error {
 	switch {
-	case n.Instance == "":
+	case instance == "":
 		return trace.BadParameter("setting instance is missing")
-	case n.Zone == "":
+	case zone == "":
 		return trace.BadParameter("setting zone is missing")
+	}
+	return nil
+}
+
+// Check reports the first setting that is missing or out of range.
+func (n *Node) Check() error {
+	if err := Place(n.Instance, n.Zone); err != nil {
+		return err
+	}
+	switch {
 	case n.Key == "":
 		return trace.BadParameter("setting key is missing")
 	case n.Platform.Adapter != "" && n.Platform.Adapter != "objapi":
--- a/core/process/lease/ended_test.go
+++ b/core/process/lease/ended_test.go
@@ -14,6 +14,14 @@
 	"parsleyroute.example/core/suite/memory"
 )
 
+// contend runs a contender and returns its end.
+func contend(t *testing.T, l *lease.Lease) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = l.Run(ctx) }()
+	return func() { cancel(); <-done }
+}
+
 // TestEndedHolder guards against a term that is waited for although its holder
 // is known to have ended, against one that is taken from a living holder, and
 // against a contender that does not know the token in force.
@@ -27,9 +35,7 @@
 			return nil
 		}}
 		first := &lease.Lease{Store: store, Name: "ranks", Holder: "a/1", TTL: ttl, Renew: time.Second}
-		ctx, stop := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { defer close(done); _ = first.Run(ctx) }()
+		stop := contend(t, first)
 		time.Sleep(2 * time.Second)
 		token, ok := first.Held()
 		if !ok {
@@ -45,9 +51,7 @@
 		// The contenders look at different times, so that neither always writes
 		// between the other's read and write.
 		time.Sleep(300 * time.Millisecond)
-		ctx2, stop2 := context.WithCancel(t.Context())
-		done2 := make(chan struct{})
-		go func() { defer close(done2); _ = second.Run(ctx2) }()
+		stop2 := contend(t, second)
 		time.Sleep(5 * time.Second)
 		if _, ok := second.Held(); ok {
 			t.Fatal("two hold the lease")
@@ -75,8 +79,6 @@
 		}
 		stop()
 		stop2()
-		<-done
-		<-done2
 	})
 }
 
@@ -93,9 +95,7 @@
 			return nil
 		}}
 		first := &lease.Lease{Store: store, Name: "ranks", Holder: "a/1", TTL: ttl, Renew: time.Second}
-		ctx, stop := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { defer close(done); _ = first.Run(ctx) }()
+		stop := contend(t, first)
 		time.Sleep(500 * time.Millisecond)
 		var ended atomic.Bool
 		second := &lease.Lease{
@@ -103,9 +103,7 @@
 			Ended: func(string) bool { return ended.Load() },
 			Alive: func(string) bool { return !ended.Load() },
 		}
-		ctx2, stop2 := context.WithCancel(t.Context())
-		done2 := make(chan struct{})
-		go func() { defer close(done2); _ = second.Run(ctx2) }()
+		stop2 := contend(t, second)
 		time.Sleep(time.Second)
 		before := reads.Load()
 		time.Sleep(30 * time.Second)
@@ -119,7 +117,5 @@
 		}
 		stop()
 		stop2()
-		<-done
-		<-done2
 	})
 }
--- a/core/process/start/direct.go
+++ b/core/process/start/direct.go
@@ -10,11 +10,7 @@
 	"syscall"
 	"time"
 
-	"github.com/go-kit/log/level"
-	"github.com/spf13/cobra"
-
 	"parsleyroute.example/core/process/conf"
-	"parsleyroute.example/core/process/logs"
 	"parsleyroute.example/core/process/trail"
 )
 
@@ -59,39 +55,18 @@
 
 // Main runs the program with the process's command line and ends the process.
 func (p *Small[S, P]) Main() {
-	ctx, stop := Signals()
-	defer stop()
-	if err := p.command().ExecuteContext(ctx); err != nil {
-		_ = level.Error(logs.New(os.Stderr, p.Name, "", "")).Log("msg", "the program failed", "err", err.Error())
-		stop()
-		os.Exit(1)
-	}
-}
-
-func (p *Small[S, P]) command() *cobra.Command {
-	var path string
-	var checkOnly bool
-	cmd := &cobra.Command{
-		Use:           p.Name + " --settings FILE",
-		Short:         p.Short,
-		Version:       p.Version,
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var s S
-			if err := conf.Load(path, &s); err != nil {
-				return err
-			}
-			if err := P(&s).Check(); err != nil || checkOnly {
-				return err
-			}
-			return p.run(cmd.Context(), path, s)
-		},
-	}
-	cmd.Flags().StringVar(&path, "settings", p.Name+".toml", "settings file")
-	cmd.Flags().BoolVar(&checkOnly, "check", false, "check the settings and exit")
-	return cmd
+	cmd := command(p.Name, p.Short, func(ctx context.Context, path string, checkOnly bool) error {
+		var s S
+		if err := conf.Load(path, &s); err != nil {
+			return err
+		}
+		if err := P(&s).Check(); err != nil || checkOnly {
+			return err
+		}
+		return p.run(ctx, path, s)
+	})
+	cmd.Version = p.Version
+	execute(p.Name, cmd)
 }
 
 func (p *Small[S, P]) run(ctx context.Context, path string, s S) error {
--- a/core/process/start/start.go
+++ b/core/process/start/start.go
@@ -38,13 +38,7 @@
 // settings is what the settings file is decoded into. The process ends with 1
 // after a failure.
 func (p *Program[S]) Main(settings S) {
-	ctx, stop := Signals()
-	defer stop()
-	if err := p.command(settings).ExecuteContext(ctx); err != nil {
-		_ = level.Error(logs.New(os.Stderr, p.Name, "", "")).Log("msg", "the program failed", "err", err.Error())
-		stop()
-		os.Exit(1)
-	}
+	execute(p.Name, p.command(settings))
 }
 
 // Signals returns a context that ends with the signal to shut down.
@@ -53,31 +47,48 @@
 }
 
 func (p *Program[S]) command(settings S) *cobra.Command {
+	return command(p.Name, p.Short, func(ctx context.Context, path string, checkOnly bool) error {
+		if err := conf.Load(path, settings); err != nil {
+			return err
+		}
+		if err := settings.Check(); err != nil || checkOnly {
+			return err
+		}
+		shared := settings.Shared()
+		shared.LimitProcs()
+		return p.Run(ctx, settings, logs.New(os.Stdout, p.Name, shared.Instance, shared.Level))
+	})
+}
+
+// command returns the command of a program that run serves with the settings file
+// at path, or whose settings it only checks.
+func command(name, short string, run func(ctx context.Context, path string, checkOnly bool) error) *cobra.Command {
 	var path string
 	var checkOnly bool
 	cmd := &cobra.Command{
-		Use:           p.Name + " --settings FILE",
-		Short:         p.Short,
+		Use:           name + " --settings FILE",
+		Short:         short,
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := conf.Load(path, settings); err != nil {
-				return err
-			}
-			if err := settings.Check(); err != nil || checkOnly {
-				return err
-			}
-			shared := settings.Shared()
-			shared.LimitProcs()
-			return p.Run(cmd.Context(), settings, logs.New(os.Stdout, p.Name, shared.Instance, shared.Level))
-		},
+		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), path, checkOnly) },
 	}
-	cmd.Flags().StringVar(&path, "settings", p.Name+".toml", "settings file")
+	cmd.Flags().StringVar(&path, "settings", name+".toml", "settings file")
 	cmd.Flags().BoolVar(&checkOnly, "check", false, "check the settings and exit")
 	return cmd
 }
 
+// execute runs a command and ends the process with 1 after a failure.
+func execute(name string, cmd *cobra.Command) {
+	ctx, stop := Signals()
+	defer stop()
+	if err := cmd.ExecuteContext(ctx); err != nil {
+		_ = level.Error(logs.New(os.Stderr, name, "", "")).Log("msg", "the program failed", "err", err.Error())
+		stop()
+		os.Exit(1)
+	}
+}
+
 // Incarnation returns a random number that tells a process from those that ran
 // on the instance before. It is never zero, which stands for unknown.
 func Incarnation() uint64 {
--- a/core/protocol.go
+++ b/core/protocol.go
@@ -16,10 +16,6 @@
 	Key string
 	// Deadline is how long the caller waits; zero if it does not say.
 	Deadline time.Duration
-	// PromptTokens and AnswerTokens are the length of the prompt and the
-	// greatest length of the answer; zero if unknown.
-	PromptTokens int
-	AnswerTokens int
 	// LastEvent is the id of the last event that a resumed stream has had.
 	LastEvent    uint64
 	HasLastEvent bool
@@ -48,15 +44,19 @@
 	NotRun bool
 	// Culprit names the upstream that prevented the run, if it was another.
 	Culprit string
-	// Load is the upstream's own count of running and waiting requests.
-	Running int
-	Waiting int
-	HasLoad bool
 	// KeepIdle is the time for which the upstream keeps the connection; zero if
 	// it does not say.
 	KeepIdle time.Duration
 }
 
+// AppendField appends a header line.
+func AppendField[T ~string | ~[]byte](dst []byte, name, value T) []byte {
+	dst = append(dst, name...)
+	dst = append(dst, ": "...)
+	dst = append(dst, value...)
+	return append(dst, "\r\n"...)
+}
+
 // Protocol reads and writes the header fields that callers, entries and
 // upstreams exchange.
 type Protocol interface {
--- a/core/version/expert/bounded_test.go
+++ b/core/version/expert/bounded_test.go
@@ -56,10 +56,9 @@
 	})
 }
 
-// TestBoundedBalances guards against a search that ends far from balance on a
-// load as the engines have it: a few experts with a tenth of the load each.
-func TestBoundedBalances(t *testing.T) {
-	g := NewWithT(t)
+// engineLoad returns a load as the engines have it: a few of 72 experts in each of
+// four sets take a tenth of the tokens each.
+func engineLoad() core.ExpertLoad {
 	load := make(core.ExpertLoad, 4)
 	for s := range load {
 		load[s] = make([]float64, 72)
@@ -67,6 +66,14 @@
 			load[s][e] = math.Pow(float64((e*29+s*7)%72+1), -1.3)
 		}
 	}
+	return load
+}
+
+// TestBoundedBalances guards against a search that ends far from balance on a
+// load as the engines have it: a few experts with a tenth of the load each.
+func TestBoundedBalances(t *testing.T) {
+	g := NewWithT(t)
+	load := engineLoad()
 	lists := expert.InTurn(4, 12, 72)
 	g.Expect(lists.Skew(load, nil)).To(BeNumerically(">", 2))
 	p := expert.Bounded{Places: 8, Spare: 3, RankSpare: 3, Target: 1.1, MoveCost: 0.03}
--- /dev/null
+++ b/fakes/process/site/objects.go
@@ -0,0 +1,44 @@
+package site
+
+import (
+	"net/netip"
+	"time"
+)
+
+// The services of a configuration: plain requests and streams.
+const (
+	Desk  = "desk"
+	Model = "model"
+)
+
+// Route is a route of a configuration.
+type Route struct {
+	Name, Host, Prefix string
+	// Kind is safe, unsafe or streaming.
+	Kind string
+	Pool string
+	// Timeout is the route's, Pause the longest pause on time of a stream.
+	Timeout, Pause time.Duration
+}
+
+// Config returns a configuration as operators write it.
+func Config(version int, routes []Route) map[string]any {
+	list := make([]map[string]any, len(routes))
+	for i, r := range routes {
+		list[i] = map[string]any{
+			"name": r.Name, "hostname": r.Host, "path_prefix": r.Prefix, "type": r.Kind, "stream_resume": true,
+			"timeout_ms": r.Timeout.Milliseconds(), "slo_ms": 300, "gap_aim_ms": r.Pause.Milliseconds(), "backend": r.Pool, "max_attempts": 2,
+		}
+	}
+	return map[string]any{
+		"version": version, "routes": list, "backends": []map[string]any{{"name": Desk}, {"name": Model}},
+		"limits": map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1 << 20, "header_timeout_ms": 2000, "idle_timeout_ms": 5000},
+	}
+}
+
+// Entry returns the entry of a worker as it writes it.
+func Entry(pool string, addr netip.AddrPort, state string, slots, sequence int) map[string]any {
+	return map[string]any{
+		"backend": pool, "address": addr.String(), "zone": "z", "state": state, "slots": slots, "sequence": sequence, "born": 1,
+	}
+}
--- a/fakes/process/site/site.go
+++ b/fakes/process/site/site.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -25,12 +24,14 @@
 	slots = 64
 	// version is that of the configuration.
 	version = 2
-)
-
-// The pools of the site.
-const (
-	pool       = "desk"
-	streamPool = "model"
+	// host is what callers on this machine name, timeout that of all routes and
+	// longestPause the longest pause on time.
+	host         = "127.0.0.1"
+	timeout      = 8 * time.Second
+	longestPause = 120 * time.Millisecond
+	// grace is the time that the gates have to end, files their descriptors.
+	grace = 8 * time.Second
+	files = 4096
 )
 
 // Site is the store and the workers. Its exported fields are set before Start.
@@ -68,7 +69,7 @@
 	s.configure()
 	s.stop = make(chan struct{})
 	for i := range 2 * s.Workers {
-		e := &entry{pool: []string{pool, streamPool}[i%2]}
+		e := &entry{pool: []string{Desk, Model}[i%2]}
 		e.ID, e.Script = fmt.Sprintf("i-%d", i), s.answer
 		if err := e.Start(); err != nil {
 			return trace.NewAggregate(err, s.Close())
@@ -97,28 +98,17 @@
 // so on. They serve callers at 127.0.0.1, from the port on, in steps of 10, and
 // their metrics at the next one.
 func (s *Site) Settings(dir string, gates, port int) error {
+	at := func(port int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+	}
 	for i := range gates {
 		p := port + 10*i
-		text := fmt.Sprintf(`instance = "gate-%d"
-zone = "z"
-callers = "127.0.0.1:%d"
-metrics = "127.0.0.1:%d"
-ready = "127.0.0.1:%d"
-peers = "127.0.0.1:%d"
-store = %q
-grace = "8s"
-files = 4096
-seeds = ["127.0.0.1:%d"]
-[retry]
-ratio = 0.2
-burst = 40.0
-window = "10s"
-[cold]
-overshoot = 1.5
-slack = 5.0
-`, i, p, p+1, p+2, p+3, s.Addr(), port+3)
-		if err := os.WriteFile(filepath.Join(dir, fmt.Sprintf("gate-%d.toml", i)), []byte(text), 0o600); err != nil {
-			return trace.ConvertSystemError(err)
+		g := &Gate{
+			Name: fmt.Sprintf("gate-%d", i), Callers: at(p), Metrics: at(p + 1), Ready: at(p + 2), Peers: at(p + 3),
+			Store: s.Addr(), Seeds: []netip.AddrPort{at(port + 3)}, Grace: grace, Files: files,
+		}
+		if err := g.Write(filepath.Join(dir, g.Name+".toml")); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -145,9 +135,7 @@
 	defer tick.Stop()
 	for sequence := 1; ; sequence++ {
 		for _, e := range s.workers {
-			s.store.Put("servers", e.ID, map[string]any{
-				"backend": e.pool, "address": e.Addr().String(), "zone": "z", "state": "ready", "slots": slots, "sequence": sequence, "born": 1,
-			})
+			s.store.Put("servers", e.ID, Entry(e.pool, e.Addr(), "ready", slots, sequence))
 		}
 		select {
 		case <-s.stop:
@@ -158,17 +146,9 @@
 }
 
 func (s *Site) configure() {
-	routes := []map[string]any{}
-	for _, r := range []struct{ path, kind, pool string }{
-		{"/lookup/", "safe", pool}, {"/order/", "unsafe", pool}, {"/draft/", "streaming", streamPool},
-	} {
-		routes = append(routes, map[string]any{
-			"name": r.kind, "path_prefix": r.path, "hostname": "127.0.0.1", "type": r.kind, "stream_resume": true,
-			"timeout_ms": 8000, "slo_ms": 300, "gap_aim_ms": 120, "backend": r.pool, "max_attempts": 2,
-		})
-	}
-	s.store.Put("config", "main", map[string]any{
-		"version": version, "routes": routes, "backends": []map[string]any{{"name": pool}, {"name": streamPool}},
-		"limits": map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1 << 20, "header_timeout_ms": 2000, "idle_timeout_ms": 5000},
-	})
+	s.store.Put("config", "main", Config(version, []Route{
+		{Name: "safe", Host: host, Prefix: "/lookup/", Kind: "safe", Pool: Desk, Timeout: timeout, Pause: longestPause},
+		{Name: "unsafe", Host: host, Prefix: "/order/", Kind: "unsafe", Pool: Desk, Timeout: timeout, Pause: longestPause},
+		{Name: "streaming", Host: host, Prefix: "/draft/", Kind: "streaming", Pool: Model, Timeout: timeout, Pause: longestPause},
+	}))
 }
--- a/fakes/soak/system_test.go
+++ b/fakes/soak/system_test.go
@@ -15,6 +15,7 @@
 
 	"parsleyroute.example/fakes/process/meta"
 	"parsleyroute.example/fakes/process/proxy"
+	"parsleyroute.example/fakes/process/site"
 	"parsleyroute.example/fakes/process/worker"
 )
 
@@ -104,7 +105,7 @@
 	}
 	t.Cleanup(func() { _ = s.proxy.Close() })
 	for i := range workers {
-		b := &backend{Worker: &worker.Worker{ID: fmt.Sprintf("i-%d", i)}, link: fmt.Sprintf("link-%d", i), addr: free(t), pool: []string{"desk", "model"}[i%2]}
+		b := &backend{Worker: &worker.Worker{ID: fmt.Sprintf("i-%d", i)}, link: fmt.Sprintf("link-%d", i), addr: free(t), pool: []string{site.Desk, site.Model}[i%2]}
 		b.Script = s.faults.script(rand.New(rand.NewPCG(rng.Uint64(), 1)), s.checks, b)
 		if err := b.Start(); err != nil {
 			t.Fatal(err)
@@ -133,16 +134,11 @@
 }
 
 func (s *system) write(g *gate, seeds []netip.AddrPort) {
-	text := fmt.Sprintf("instance = %q\nzone = \"z\"\ncallers = %q\nready = %q\npeers = %q\nmetrics = %q\nstore = %q\ngrace = %q\nseeds = [",
-		g.name, g.callers, g.ready, g.peers, g.metrics, s.store.Addr(), grace)
-	for i, a := range seeds {
-		if i > 0 {
-			text += ", "
-		}
-		text += fmt.Sprintf("%q", a)
+	settings := &site.Gate{
+		Name: g.name, Callers: g.callers, Ready: g.ready, Peers: g.peers, Metrics: g.metrics,
+		Store: s.store.Addr(), Seeds: seeds, Grace: grace,
 	}
-	text += "]\n[retry]\nratio = 0.2\nburst = 40.0\nwindow = \"10s\"\n[cold]\novershoot = 1.5\nslack = 5.0\n"
-	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
+	if err := settings.Write(g.settings); err != nil {
 		s.t.Fatal(err)
 	}
 }
@@ -153,19 +149,16 @@
 	s.version += 2
 	version := s.version
 	s.mu.Unlock()
-	routes := []map[string]any{}
+	routes := []site.Route{}
 	for _, p := range prefixes {
-		for _, r := range []struct{ kind, pool string }{{"safe", "desk"}, {"unsafe", "desk"}, {"streaming", "model"}} {
-			routes = append(routes, map[string]any{
-				"name": p + r.kind, "hostname": "h", "path_prefix": p + r.kind + "/", "type": r.kind, "stream_resume": true,
-				"timeout_ms": 3000, "slo_ms": 300, "gap_aim_ms": 200, "backend": r.pool, "max_attempts": 2,
+		for _, r := range []struct{ kind, pool string }{{"safe", site.Desk}, {"unsafe", site.Desk}, {"streaming", site.Model}} {
+			routes = append(routes, site.Route{
+				Name: p + r.kind, Host: "h", Prefix: p + r.kind + "/", Kind: r.kind, Pool: r.pool,
+				Timeout: 3 * time.Second, Pause: 200 * time.Millisecond,
 			})
 		}
 	}
-	s.store.Put("config", "main", map[string]any{
-		"version": version, "routes": routes, "backends": []map[string]any{{"name": "desk"}, {"name": "model"}},
-		"limits": map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1 << 20, "header_timeout_ms": 2000, "idle_timeout_ms": 5000},
-	})
+	s.store.Put("config", "main", site.Config(version, routes))
 }
 
 // beat writes the entries of all workers.
@@ -177,9 +170,9 @@
 		if !b.draining.IsZero() {
 			state = "draining"
 		}
-		spec := map[string]any{"backend": b.pool, "address": b.addr.String(), "zone": "z", "state": state, "slots": 8, "sequence": b.sequence, "born": 1}
+		entry := site.Entry(b.pool, b.addr, state, 8, b.sequence)
 		b.mu.Unlock()
-		s.store.Put("servers", b.ID, spec)
+		s.store.Put("servers", b.ID, entry)
 	}
 }
 
--- a/gate/conn/inlet/conn.go
+++ b/gate/conn/inlet/conn.go
@@ -147,18 +147,20 @@
 		return false
 	case errors.As(err, &small):
 		return k.reject(x, fasthttp.StatusRequestHeaderFieldsTooLarge, core.ReasonTooLarge)
-	case isTimeout(err):
-		return k.reject(x, fasthttp.StatusRequestTimeout, core.ReasonRequestTimeout)
-	case probe.Closed(k.c):
-		return false
 	}
-	return k.reject(x, fasthttp.StatusBadRequest, core.ReasonBadRequest)
+	return k.rejectUnread(x, err)
 }
 
 func (k *conn) rejectBody(x *Exchange, err error) bool {
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return k.reject(x, fasthttp.StatusRequestEntityTooLarge, core.ReasonTooLarge)
+	}
+	return k.rejectUnread(x, err)
+}
+
+// rejectUnread refuses a request of which a part could not be read.
+func (k *conn) rejectUnread(x *Exchange, err error) bool {
+	switch {
 	case isTimeout(err):
 		return k.reject(x, fasthttp.StatusRequestTimeout, core.ReasonRequestTimeout)
 	case probe.Closed(k.c):
--- a/gate/conn/inlet/exchange.go
+++ b/gate/conn/inlet/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"net"
 	"strconv"
 	"time"
 
@@ -30,9 +29,6 @@
 	closing bool
 }
 
-// Caller returns the caller's address.
-func (x *Exchange) Caller() net.Addr { return x.conn.c.RemoteAddr() }
-
 // Context ends when the caller closes the connection or the handler returns.
 // The connection is watched from the first call on.
 func (x *Exchange) Context() context.Context {
@@ -71,14 +67,14 @@
 	x.began = true
 	w := x.conn.bw
 	x.writeHead(w, status, lines)
-	if mayHaveBody(x.Header, status) {
+	if mayHaveBody(status) {
 		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
-	if mayHaveBody(x.Header, status) && !x.Header.IsHead() {
+	if mayHaveBody(status) && !x.Header.IsHead() {
 		_, _ = w.Write(body)
 	}
-	if err := x.flush(); err != nil {
+	if err := x.Flush(); err != nil {
 		return err
 	}
 	x.done = true
@@ -117,15 +113,12 @@
 	return err
 }
 
-// Flush sends what was written.
-func (x *Exchange) Flush() error { return x.flush() }
-
 // End completes an answer that Begin has begun.
 func (x *Exchange) End() error {
 	if x.chunked {
 		_, _ = x.conn.bw.WriteString("0\r\n\r\n")
 	}
-	if err := x.flush(); err != nil {
+	if err := x.Flush(); err != nil {
 		return err
 	}
 	x.done = true
@@ -136,7 +129,8 @@
 // of the answer.
 func (x *Exchange) Abort() { x.broken = true }
 
-func (x *Exchange) flush() error {
+// Flush sends what was written.
+func (x *Exchange) Flush() error {
 	_ = x.conn.c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := x.conn.bw.Flush(); err != nil {
 		x.broken = true
@@ -147,7 +141,7 @@
 }
 
 func (x *Exchange) writeHead(w *bufio.Writer, status int, lines []byte) {
-	if x.Header.ConnectionClose() || x.conn.server.closing() {
+	if x.Header.ConnectionClose() || x.conn.server.drained.Load() {
 		x.closing = true
 	}
 	_, _ = w.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + fasthttp.StatusMessage(status) + "\r\n")
@@ -159,6 +153,6 @@
 	}
 }
 
-func mayHaveBody(_ *fasthttp.RequestHeader, status int) bool {
+func mayHaveBody(status int) bool {
 	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
 }
--- a/gate/conn/inlet/server.go
+++ b/gate/conn/inlet/server.go
@@ -106,8 +106,6 @@
 	}
 }
 
-func (s *Server) closing() bool { return s.drained.Load() }
-
 func (s *Server) limits() core.CallerLimits {
 	l := s.Limits()
 	orDefault(&l.HeaderBytes, defaultHeaderBytes)
--- a/gate/conn/outlet/conn.go
+++ b/gate/conn/outlet/conn.go
@@ -45,9 +45,6 @@
 // SetDeadline bounds all reads and writes.
 func (c *Conn) SetDeadline(t time.Time) { _ = c.c.SetDeadline(t) }
 
-// SetReadDeadline bounds reads.
-func (c *Conn) SetReadDeadline(t time.Time) { _ = c.c.SetReadDeadline(t) }
-
 // Send writes a request. After an error the upstream may have got a part of
 // it; Sent tells.
 func (c *Conn) Send(head, body []byte) error {
--- a/gate/process/gossip/roster.go
+++ b/gate/process/gossip/roster.go
@@ -80,40 +80,39 @@
 
 // Remote returns the requests that the other gates have at each upstream.
 func (g *Gossip) Remote() map[uint64]int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
 	loads := map[uint64]int{}
-	for _, p := range g.peers {
-		if p.beat == nil || now.Sub(p.heard) > freshLoad {
-			continue
-		}
-		for _, l := range p.beat.GetLoads() {
-			if n := l.GetInflight(); n > 0 {
-				loads[l.GetKey()] += int(n)
-			}
+	g.eachLoad(func(l *wire.UpstreamLoad) {
+		if n := l.GetInflight(); n > 0 {
+			loads[l.GetKey()] += int(n)
 		}
-	}
+	})
 	return loads
 }
 
 // SlowPaces returns the paces of the upstreams that other gates know to be slow.
 func (g *Gossip) SlowPaces() map[uint64]float64 {
+	paces := map[uint64]float64{}
+	g.eachLoad(func(l *wire.UpstreamLoad) {
+		if l.GetPace() > 0 {
+			paces[l.GetKey()] = max(paces[l.GetKey()], float64(l.GetPace())/paceUnit)
+		}
+	})
+	return paces
+}
+
+// eachLoad calls f with each entry of the peers' last beats that are fresh.
+func (g *Gossip) eachLoad(f func(*wire.UpstreamLoad)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	paces := map[uint64]float64{}
 	for _, p := range g.peers {
 		if p.beat == nil || now.Sub(p.heard) > freshLoad {
 			continue
 		}
 		for _, l := range p.beat.GetLoads() {
-			if l.GetPace() > 0 {
-				paces[l.GetKey()] = max(paces[l.GetKey()], float64(l.GetPace())/paceUnit)
-			}
+			f(l)
 		}
 	}
-	return paces
 }
 
 // Gates returns the number of gates that may be sending, this one included.
--- a/gate/process/view/peers.go
+++ b/gate/process/view/peers.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"maps"
 	"time"
 
 	"parsleyroute.example/core"
@@ -27,10 +28,7 @@
 
 func (v *View) applyPeers(now time.Time, changed []string) {
 	objects := v.state[core.KindPeer].objects
-	peers := make(map[string]*core.Peer, len(v.current.Upstreams))
-	for id, p := range v.current.Upstreams {
-		peers[id] = p
-	}
+	peers := maps.Clone(v.current.Upstreams)
 	gone := map[string]*core.Peer{}
 	for _, id := range changed {
 		o, ok := objects[id]
@@ -115,10 +113,7 @@
 	if len(ended) == 0 {
 		return
 	}
-	peers := make(map[string]*core.Peer, len(v.current.Upstreams))
-	for id, p := range v.current.Upstreams {
-		peers[id] = p
-	}
+	peers := maps.Clone(v.current.Upstreams)
 	for _, id := range ended {
 		delete(peers, id)
 		delete(v.held, id)
--- a/gate/request/relay/answer.go
+++ b/gate/request/relay/answer.go
@@ -139,7 +139,7 @@
 	var b []byte
 	for k, v := range h.All() {
 		if t.r.Protocol.Returns(k) {
-			b = appendField(b, k, v)
+			b = core.AppendField(b, k, v)
 		}
 	}
 	return b
--- a/gate/request/relay/attempt.go
+++ b/gate/request/relay/attempt.go
@@ -133,9 +133,10 @@
 	b = append(b, " HTTP/1.1\r\nHost: "...)
 	b = append(b, h.Host()...)
 	b = append(b, "\r\n"...)
+	connection := h.Peek(fasthttp.HeaderConnection)
 	for k, v := range h.All() {
-		if t.r.Protocol.Forwards(k) && !named(h.Peek(fasthttp.HeaderConnection), k) {
-			b = appendField(b, k, v)
+		if t.r.Protocol.Forwards(k) && !named(connection, k) {
+			b = core.AppendField(b, k, v)
 		}
 	}
 	d := core.Dispatch{
@@ -166,10 +167,3 @@
 	}
 	return false
 }
-
-func appendField(b, name, value []byte) []byte {
-	b = append(b, name...)
-	b = append(b, ": "...)
-	b = append(b, value...)
-	return append(b, "\r\n"...)
-}
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/clock"
 	"parsleyroute.example/gate/process/ranks"
 	"parsleyroute.example/gate/process/view"
 	"parsleyroute.example/gate/version/route"
@@ -147,10 +148,7 @@
 			return
 		}
 		g.Trail.Log("register_failed", "error", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerWait):
-		}
+		_ = clock.Real{}.Sleep(ctx, registerWait)
 	}
 }
 
--- a/gate/serve/settings.go
+++ b/gate/serve/settings.go
@@ -80,11 +80,10 @@
 
 // Check reports the first setting that is missing or out of range.
 func (s *Settings) Check() error {
+	if err := conf.Place(s.Instance, s.Zone); err != nil {
+		return err
+	}
 	switch {
-	case s.Instance == "":
-		return trace.BadParameter("setting instance is missing")
-	case s.Zone == "":
-		return trace.BadParameter("setting zone is missing")
 	case s.Memory < 0 || s.Files < 0:
 		return trace.BadParameter("settings memory and files must not be negative")
 	case s.Grace.Duration < 0:
--- a/rank/serve/rank.go
+++ b/rank/serve/rank.go
@@ -42,12 +42,10 @@
 
 // Check reports the first setting that is missing or out of range.
 func (s *Settings) Check() error {
-	switch {
-	case s.Instance == "":
-		return trace.BadParameter("setting instance is missing")
-	case s.Zone == "":
-		return trace.BadParameter("setting zone is missing")
-	case s.Memory < 0:
+	if err := conf.Place(s.Instance, s.Zone); err != nil {
+		return err
+	}
+	if s.Memory < 0 {
 		return trace.BadParameter("setting memory must not be negative")
 	}
 	return errors.Join(conf.Address("listen", s.Listen), conf.Address("engine", s.Engine))
