Set a new write deadline for each write to a caller

Cause: a response that exceeds the write buffer of a caller's connection was partly written before Flush set the deadline, with the deadline of the previous response. Test: TestLargeResponseOnIdleConnection fails without the change.

--- a/gate/conn/inlet/conn.go
+++ b/gate/conn/inlet/conn.go
@@ -77,12 +77,25 @@
 	defer func() { _ = c.tcp.Close() }()
 	// A request header must fit in the buffer, so the buffer size is the limit.
 	c.br = bufio.NewReaderSize(c.tcp, c.server.limits().HeaderBytes)
-	c.bw = bufio.NewWriterSize(c.tcp, writeBuffer)
+	c.bw = bufio.NewWriterSize(deadlineWriter{c.tcp}, writeBuffer)
 	var req fasthttp.Request
 	for c.serveRequest(&req) {
 	}
 }
 
+// deadlineWriter writes to a caller's connection with a new deadline for each
+// write. A buffered writer also writes when its buffer is full, and the deadline
+// of an earlier response has passed by then if the connection was idle.
+type deadlineWriter struct{ tcp *net.TCPConn }
+
+// Write implements io.Writer.
+func (w deadlineWriter) Write(p []byte) (int, error) {
+	if err := w.tcp.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return w.tcp.Write(p)
+}
+
 // serveRequest handles one request and reports whether the connection may carry
 // another.
 func (c *conn) serveRequest(req *fasthttp.Request) bool {
--- a/gate/conn/inlet/exchange.go
+++ b/gate/conn/inlet/exchange.go
@@ -131,7 +131,6 @@
 
 // Flush sends the buffered part of the response.
 func (x *Exchange) Flush() error {
-	_ = x.conn.tcp.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := x.conn.bw.Flush(); err != nil {
 		x.aborted = true
 		x.cancel()
--- a/gate/conn/inlet/inlet_test.go
+++ b/gate/conn/inlet/inlet_test.go
@@ -99,3 +99,38 @@
 	_, err = idle.Read(make([]byte, 1))
 	g.Expect(err).To(MatchError(io.EOF))
 }
+
+// largeHandler responds to each request with a body that exceeds the write buffer.
+type largeHandler struct{ slowHandler }
+
+func (largeHandler) Serve(x *inlet.Exchange) {
+	_ = x.Respond(200, nil, make([]byte, 64<<10))
+}
+
+// TestLargeResponseOnIdleConnection guards against a response that is cut off
+// because its first part is written with the deadline of the previous response on
+// the connection, which was idle for longer than that.
+func TestLargeResponseOnIdleConnection(t *testing.T) {
+	g := NewWithT(t)
+	s := startServer(t, largeHandler{})
+	c, err := net.Dial("tcp", s.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	br := bufio.NewReader(c)
+	for i := range 2 {
+		if i > 0 {
+			// Longer than inlet's writeTimeout of 5 s.
+			time.Sleep(5200 * time.Millisecond)
+		}
+		_, err := io.WriteString(c, request)
+		g.Expect(err).NotTo(HaveOccurred())
+		r, err := http.ReadResponse(br, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(r.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(HaveLen(64 << 10))
+	}
+	_ = c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	g.Expect(s.Close(ctx)).To(Succeed())
+}
--- a/gate/process/gossip/peers.go
+++ b/gate/process/gossip/peers.go
@@ -182,8 +182,10 @@
 	Known       bool
 	Incarnation uint64
 	// Alive is set if a heartbeat arrived within silentAfter. Silent is set if none
-	// did although at least half of the other gates are alive, so that this gate
-	// itself is not the one that is disconnected.
+	// did although at least half of the other gates have been heard since the
+	// instance stopped counting as alive, so that this gate itself is not the one
+	// that is disconnected. Heartbeats from before that moment are no evidence: a
+	// disconnected gate last hears its peers at slightly different times.
 	Alive, Silent bool
 }
 
@@ -193,25 +195,26 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	var last *peer
-	others, heard := 0, 0
 	for _, p := range g.peers {
-		switch {
-		case p.heartbeat == nil:
-		case p.heartbeat.GetInstance() == instance:
-			if last == nil || p.lastHeard.After(last.lastHeard) {
-				last = p
-			}
-		case !p.heartbeat.GetLeaving():
-			others++
-			if now.Sub(p.lastHeard) < silentAfter {
-				heard++
-			}
+		if p.heartbeat != nil && p.heartbeat.GetInstance() == instance && (last == nil || p.lastHeard.After(last.lastHeard)) {
+			last = p
 		}
 	}
 	if last == nil {
 		return Presence{}
 	}
-	alive := now.Sub(last.lastHeard) < silentAfter
+	aliveUntil := last.lastHeard.Add(silentAfter)
+	alive := now.Before(aliveUntil)
+	others, heard := 0, 0
+	for _, p := range g.peers {
+		if p.heartbeat == nil || p.heartbeat.GetInstance() == instance || p.heartbeat.GetLeaving() {
+			continue
+		}
+		others++
+		if p.lastHeard.After(aliveUntil) && now.Sub(p.lastHeard) < silentAfter {
+			heard++
+		}
+	}
 	return Presence{
 		Known: true, Incarnation: last.heartbeat.GetIncarnation(), Alive: alive,
 		Silent: !alive && heard > 0 && 2*heard >= others,
