--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"parsleyroute.example/core/wire"
 	"parsleyroute.example/gate/process/gossip"
@@ -67,6 +68,14 @@
 	g.Expect(c.RemoteSlowdowns()).To(Equal(map[uint64]float64{1: 2.5, 2: 2.5}))
 	g.Expect(c.Presence("bb")).To(Equal(gossip.Presence{Known: true, Incarnation: 2, Alive: true}))
 	g.Expect(c.Presence("dddd")).To(Equal(gossip.Presence{}))
+	for _, n := range []*gossip.Gossip{a, b, c} {
+		for _, name := range []string{"a", "bb", "ccc"} {
+			if name != n.Instance {
+				// b hears of c only through a, so its address may be unknown to b until now.
+				g.Eventually(func() bool { return n.Presence(name).Known }, "3s").Should(BeTrue(), n.Instance+" hears "+name)
+			}
+		}
+	}
 	lowest := 0
 	for _, n := range []*gossip.Gossip{a, b, c} {
 		if n.AmongLowestAddresses(1) {
@@ -164,6 +173,59 @@
 	g.Consistently(func() bool { return a.Presence("eeeee").Silent }, "500ms").Should(BeFalse(), "only one of three other gates is alive")
 }
 
+// fakePeer sends heartbeats of a gate at the times that a test chooses.
+type fakePeer struct {
+	conn *net.UDPConn
+	to   netip.AddrPort
+	beat *wire.Beat
+}
+
+func newFakePeer(t *testing.T, name string, to netip.AddrPort) *fakePeer {
+	t.Helper()
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return &fakePeer{conn: c, to: to, beat: &wire.Beat{Instance: name, Incarnation: 1, Address: c.LocalAddr().String()}}
+}
+
+func (p *fakePeer) send(t *testing.T) {
+	t.Helper()
+	p.beat.Sequence++
+	data, err := proto.Marshal(p.beat)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.conn.WriteToUDPAddrPort(data, p.to); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestUnevenLastHeartbeats guards against a disconnected gate that takes the leader
+// to have ended because it last heard the other gates somewhat later than the
+// leader, and against a leader that is never found silent.
+func TestUnevenLastHeartbeats(t *testing.T) {
+	for _, disconnected := range []bool{true, false} {
+		g := NewWithT(t)
+		a, _ := startGate(t, "a", nil)
+		leader := newFakePeer(t, "leader", a.Listen)
+		others := []*fakePeer{newFakePeer(t, "x", a.Listen), newFakePeer(t, "y", a.Listen), newFakePeer(t, "z", a.Listen)}
+		// The loopback network delivers datagrams to a socket that exists.
+		g.Eventually(func() bool { leader.send(t); return a.Presence("leader").Alive }, "3s", "50ms").Should(BeTrue())
+		silent := false
+		for start := time.Now(); time.Since(start) < 1600*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+			if !disconnected || time.Since(start) < 400*time.Millisecond {
+				for _, p := range others {
+					p.send(t)
+				}
+			}
+			silent = silent || a.Presence("leader").Silent
+		}
+		g.Expect(silent).To(Equal(!disconnected), "disconnected: %t", disconnected)
+	}
+}
+
 // TestOneWatcherPerZone guards against more than one watcher in a zone, since each
 // watcher adds calls to the store, and against a zone without a watcher.
 func TestOneWatcherPerZone(t *testing.T) {
