Judge the silence of a stream by the waits of its pool

Cause: after an outage all slots fill at once, and first events take over a second. Change: gate/process/policy.Silence compares with the pool's waits for first events.

--- a/gate/request/relay/attempt.go
+++ b/gate/request/relay/attempt.go
@@ -71,7 +71,7 @@
 		res.outcome = fleet.Inconclusive
 	}
 	t.relay.Picker.Fleet.EndRequest(time.Now(), u, res.outcome)
-	if res.status == attemptLost && t.route.Kind == core.RouteStream && t.poolState.activity.idle() > stallTimeout {
+	if res.status == attemptLost && t.route.Kind == core.RouteStream && t.poolState.silence.Idle(time.Now()) > stallTimeout {
 		t.relay.Picker.Fleet.SuspectGroup(time.Now(), u)
 	}
 	if res.status != attemptDone {
--- a/gate/request/relay/relay.go
+++ b/gate/request/relay/relay.go
@@ -15,6 +15,7 @@
 	"parsleyroute.example/core/request/admit"
 	"parsleyroute.example/gate/conn/inlet"
 	"parsleyroute.example/gate/process/fleet"
+	"parsleyroute.example/gate/process/policy"
 	"parsleyroute.example/gate/version/route"
 )
 
@@ -48,9 +49,9 @@
 // and the start of an outage. Whether the pool is up or down at a given time is
 // fleet.PoolState.
 type poolState struct {
-	queue    *admit.Queue
-	budget   *RetryBudget
-	activity activity
+	queue   *admit.Queue
+	budget  *RetryBudget
+	silence policy.Silence
 	// downSince is the start of the current outage, in nanoseconds since
 	// processStart. It is zero if the last request found the pool up.
 	downSince atomic.Int64
--- a/gate/request/relay/watchdog.go
+++ b/gate/request/relay/watchdog.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"parsleyroute.example/core"
@@ -10,24 +9,7 @@
 	"parsleyroute.example/gate/conn/outlet"
 )
 
-// activity holds the time of the last event on any stream of a pool, in
-// nanoseconds since processStart.
-type activity struct{ last atomic.Int64 }
-
-func (a *activity) record() { a.last.Store(int64(time.Since(processStart))) }
-
-func (a *activity) idle() time.Duration {
-	return time.Since(processStart) - time.Duration(a.last.Load())
-}
-
 const (
-	// maxSilence is how long a stream may have no events while other streams of
-	// its pool have some. It is then resumed on another upstream. Callers wait
-	// for the next event for at least minEventWait, which is two seconds.
-	maxSilence = 900 * time.Millisecond
-	// maxActivityAge is the maximum age of the last event of a pool that counts
-	// as active.
-	maxActivityAge = 300 * time.Millisecond
 	// silenceCheckInterval is the time between two checks of a stream.
 	silenceCheckInterval = 150 * time.Millisecond
 	// responseTimeoutFactor times the route's objective is the time after
@@ -43,8 +25,10 @@
 
 	mu        sync.Mutex
 	lastEvent time.Time
-	stopped   bool
-	timer     *time.Timer
+	// started is set once the attempt has had an event.
+	started bool
+	stopped bool
+	timer   *time.Timer
 }
 
 // startWatchdog returns a watchdog of the connection. It does nothing if the
@@ -65,22 +49,24 @@
 
 // recordEvent restarts the time without an event, of the stream and of its pool.
 func (w *watchdog) recordEvent() {
+	now := time.Now()
 	w.mu.Lock()
-	w.lastEvent = time.Now()
+	wait, first := now.Sub(w.lastEvent), !w.started
+	w.lastEvent, w.started = now, true
 	w.mu.Unlock()
-	w.transaction.poolState.activity.record()
+	w.transaction.poolState.silence.ObserveEvent(now, wait, first)
 }
 
-// check closes the connection if its stream has had no event for maxSilence while
-// the pool is active.
+// check closes the connection if its stream counts as silent.
 func (w *watchdog) check() {
+	now := time.Now()
 	w.mu.Lock()
-	silence := time.Since(w.lastEvent)
+	wait, started := now.Sub(w.lastEvent), w.started
 	if !w.stopped {
 		w.timer.Reset(silenceCheckInterval)
 	}
 	w.mu.Unlock()
-	if silence > maxSilence && w.transaction.poolState.activity.idle() < maxActivityAge {
+	if w.transaction.poolState.silence.Silent(now, wait, started) {
 		w.expire()
 	}
 }
