Bound the copies for one expert map by their time, and read counts more often

Hypothesis: in the seconds at half capacity most streams are late by one pass of 150 ms (limit 120). Such passes come from a shift of demand: the skew stays until it is found (200 ms) and until three experts a rank are copied (0.45 s), with passes 15% longer meanwhile. The first copy brings most of the gain. Change: a map copies experts for at most 150 ms (was: 3 experts a rank); the copy time comes from the configuration; rounds of 100 ms, bounded to 320 reports a second (was: 200 ms, whatever the number of ranks).

--- a/core/direct.go
+++ b/core/direct.go
@@ -96,6 +96,8 @@
 	Experts       int
 	SlotsPerRank  int
 	MaxNewExperts int
+	// ExpertCopyTime is the time in which a rank copies one expert, zero if unknown.
+	ExpertCopyTime time.Duration
 	// ExpertShare is the share of a forward pass's work that the experts do.
 	ExpertShare float64
 }
--- a/gate/process/ranks/leader.go
+++ b/gate/process/ranks/leader.go
@@ -78,8 +78,9 @@
 	wg.Go(func() { l.recoverAbandonedSwitches(ctx) })
 	groups := map[string]*group{}
 	busy := map[string]*atomic.Bool{}
-	tick := time.NewTicker(roundInterval)
+	tick := time.NewTicker(minRoundInterval)
 	defer tick.Stop()
+	var lastRound time.Time
 	var currentToken uint64
 	for {
 		select {
@@ -95,10 +96,12 @@
 			// progress finishes with its own group value.
 			groups, busy = map[string]*group{}, map[string]*atomic.Bool{}
 		}
-		if !ok {
+		specs := *l.specs.Load()
+		if !ok || time.Since(lastRound) < roundInterval(rankCount(specs))-minRoundInterval/2 {
 			continue
 		}
-		for name, spec := range *l.specs.Load() {
+		lastRound = time.Now()
+		for name, spec := range specs {
 			g := groups[name]
 			if g == nil {
 				g = l.newGroup(token)
@@ -125,6 +128,15 @@
 	}
 }
 
+// rankCount returns the number of ranks of all groups.
+func rankCount(specs map[string]*GroupSpec) int {
+	n := 0
+	for _, s := range specs {
+		n += len(s.Members)
+	}
+	return n
+}
+
 func (l *Leader) newGroup(token uint64) *group {
 	return &group{ranks: l.Ranks, direct: l.Direct, decisionLog: l.DecisionLog, token: token, nonce: l.nonce}
 }
--- a/gate/process/ranks/plan_test.go
+++ b/gate/process/ranks/plan_test.go
@@ -105,3 +105,45 @@
 		g.Expect(group.load[0][0] / group.load[0][1]).To(BeNumerically("~", 3, 0.01))
 	}
 }
+
+// TestCopyTimeBoundsMap guards against a map for which ranks copy experts for half
+// a second, with slow and skewed passes meanwhile, and against a fast link that is
+// used for one expert at a time.
+func TestCopyTimeBoundsMap(t *testing.T) {
+	g := NewWithT(t)
+	for copyTime, want := range map[time.Duration]int{
+		0:                      1,
+		148 * time.Millisecond: 1,
+		400 * time.Millisecond: 1,
+		36 * time.Millisecond:  4,
+	} {
+		g.Expect(maxNewPerRank(&core.EngineConfig{ExpertCopyTime: copyTime})).To(Equal(want), "%s", copyTime)
+	}
+	// Eight experts of one rank have all the load of each of the three sets.
+	group := skewedGroup(12)
+	group.spec.Engine.LayerSets, group.spec.Engine.ExpertCopyTime = 3, 148*time.Millisecond
+	group.load = core.ExpertLoad{group.load[0], group.load[0], group.load[0]}
+	group.placement = expert.RoundRobin(3, 4, 8)
+	before := group.placement
+	for switches := 0; ; switches++ {
+		next := group.betterPlacement()
+		if next == nil {
+			g.Expect(switches).To(BeNumerically(">", 1))
+			break
+		}
+		_, perRank := group.placement.NewExperts(next)
+		g.Expect(perRank).To(Equal(1))
+		group.placement = next
+	}
+	g.Expect(group.placement.Skew(group.load, nil)).To(BeNumerically("<", 0.7*before.Skew(group.load, nil)))
+}
+
+// TestRoundInterval guards against a leader whose reports grow with the ranks, and
+// against a shift of demand in a small group that is found late.
+func TestRoundInterval(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(roundInterval(16)).To(Equal(minRoundInterval))
+	for _, ranks := range []int{64, 256, 600} {
+		g.Expect(float64(ranks) / roundInterval(ranks).Seconds()).To(BeNumerically("<=", maxReadsPerSecond+1))
+	}
+}
--- a/gate/process/ranks/round.go
+++ b/gate/process/ranks/round.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// roundInterval is the time between readings of the counts. The demand for
-	// experts shifts within seconds.
-	roundInterval = 200 * time.Millisecond
+	// minRoundInterval is the shortest time between readings of the counts. The
+	// demand for experts shifts within seconds, and forward passes are skewed until
+	// a shift is found.
+	minRoundInterval = 100 * time.Millisecond
+	// maxReadsPerSecond bounds the reports that a leader reads in a second, so that
+	// its processor time does not grow with the number of ranks.
+	maxReadsPerSecond = 320
 	// reportTimeout bounds the reading of one rank's report or placement.
 	reportTimeout = 200 * time.Millisecond
 	// minLoadDuration is the time that the load must cover before a map is
@@ -47,9 +51,11 @@
 	// and experts. All ranks serve the same mix of requests; 12 of them select
 	// about ten thousand experts in a round.
 	maxCountedRanks = 12
-	// maxNewPerRank bounds the experts that one rank copies for a map, since each
-	// copy takes a tenth of a second. Later maps can make further changes.
-	maxNewPerRank = 3
+	// maxCopyTime bounds the time for which ranks copy experts for one map, where it
+	// allows at least one expert. Passes take 15% longer meanwhile and keep their
+	// skew, and the first few copies bring most of the gain. Later maps make further
+	// changes.
+	maxCopyTime = 150 * time.Millisecond
 )
 
 // runRound reads the reports of the group once. It finishes an unfinished switch
@@ -97,6 +103,20 @@
 	return g.rebalance(ctx)
 }
 
+// roundInterval returns the time between the rounds of a leader that balances
+// groups with the given number of ranks in all.
+func roundInterval(ranks int) time.Duration {
+	return max(minRoundInterval, time.Duration(ranks)*time.Second/maxReadsPerSecond)
+}
+
+// maxNewPerRank returns the number of experts that a rank may copy for one map.
+func maxNewPerRank(e *core.EngineConfig) int {
+	if e.ExpertCopyTime <= 0 {
+		return 1
+	}
+	return max(1, int(maxCopyTime/e.ExpertCopyTime))
+}
+
 // readsCounts reports whether the counts of a rank are read in a group of the
 // given number of ranks. The selection is the same in each round, since counts
 // are compared with the previous ones.
@@ -187,7 +207,7 @@
 		return nil
 	}
 	next := expert.Bounded{
-		MaxPerSet: e.SlotsPerRank, MaxNewPerSet: e.MaxNewExperts, MaxNewPerRank: maxNewPerRank, MoveCost: cost / float64(len(g.spec.Members)), TargetSkew: targetSkew, Slowdowns: g.slowdowns,
+		MaxPerSet: e.SlotsPerRank, MaxNewPerSet: e.MaxNewExperts, MaxNewPerRank: maxNewPerRank(e), MoveCost: cost / float64(len(g.spec.Members)), TargetSkew: targetSkew, Slowdowns: g.slowdowns,
 	}.Place(g.placement, g.load)
 	if next == nil {
 		return nil
--- a/gate/process/ranks/switch.go
+++ b/gate/process/ranks/switch.go
@@ -1,6 +1,7 @@
 package ranks
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -34,8 +35,9 @@
 	// maxPrepareAttempts bounds the number of times that a prepare order is
 	// repeated to a rank that does not respond.
 	maxPrepareAttempts = 12
-	// expertCopyDuration is the expected duration of copying one expert.
-	expertCopyDuration = 110 * time.Millisecond
+	// defaultExpertCopyTime is assumed if the configuration does not state how long
+	// copying one expert takes.
+	defaultExpertCopyTime = 200 * time.Millisecond
 )
 
 // switchTo switches the group to the given placement. Until the group is held, it
@@ -48,7 +50,7 @@
 	// "observed" is the time that the load covers, "pause_share" the gap share.
 	g.decisionLog.Log("map_planned", "group", g.spec.Name, "epoch", g.epoch, "map", version, "former", g.version, "token", g.token,
 		"skew", g.placement.Skew(g.load, g.slowdowns), "expected_skew", next.Skew(g.load, g.slowdowns), "new_experts", total, "observed", g.loadDuration, "pause_share", g.gapShare)
-	if err := g.prepareAll(ctx, version, next, time.Duration(maxPerRank)*expertCopyDuration+prepareMargin); err != nil {
+	if err := g.prepareAll(ctx, version, next, time.Duration(maxPerRank)*cmp.Or(g.spec.Engine.ExpertCopyTime, defaultExpertCopyTime)+prepareMargin); err != nil {
 		return trace.Wrap(err, "prepare")
 	}
 	prepareDuration := time.Since(start)
