Find standing groups and silent upstreams, and leave them alone

A stream that was cut there could be sent on to another frozen rank. A group that was down was opened by whichever rank answered. Change: policy.Standstill finds a group without events for 0.3 s (or four passes) from the streams of all gates, told by heartbeats; it opens by a trial, after a new epoch or once all ranks answer, and by the next event. policy.Silence also says which upstream has not been heard for too long: a rank gets nothing until it is heard or answers a call, a plain upstream one request at a time. Gates tell each other.

--- a/gate/process/fleet/eventgap.go
+++ b/gate/process/fleet/eventgap.go
@@ -49,6 +49,21 @@
 	return m.mean
 }
 
+// maxLastGapAge is how long after the last event the average gap still tells how
+// long a forward pass takes.
+const maxLastGapAge = 2 * time.Second
+
+// lastKnown returns the average gap, or zero if the last event is older than
+// maxLastGapAge.
+func (m *gapMeter) lastKnown(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.observedAt) > maxLastGapAge {
+		return 0
+	}
+	return m.mean
+}
+
 // ObserveEventGap records the gap between two events of a stream of the pool and
 // the pool's limit for such gaps, which is unknown if zero.
 func (f *Fleet) ObserveEventGap(now time.Time, pool string, gap, limit time.Duration) {
@@ -62,6 +77,14 @@
 	}
 }
 
+// meanGap returns the recent average event gap of a pool, or zero if it is unknown.
+func (f *Fleet) meanGap(now time.Time, pool string) time.Duration {
+	if v, ok := f.gapMeters.Load(pool); ok {
+		return v.(*gapMeter).lastKnown(now)
+	}
+	return 0
+}
+
 // GapShare returns the last known average event gap of a pool as a fraction of
 // its gap limit, or zero if either is unknown.
 func (f *Fleet) GapShare(pool string) float64 {
--- a/gate/process/fleet/fleet.go
+++ b/gate/process/fleet/fleet.go
@@ -53,6 +53,8 @@
 	// time.Duration that the gap between two events of a stream may last.
 	gapMeters sync.Map
 	gapLimits sync.Map
+	// silences maps the name of a pool to its *policy.Silence.
+	silences sync.Map
 
 	// Only the control goroutine accesses the fields below.
 
@@ -203,10 +205,12 @@
 }
 
 // UpdateRemoteLoads sets the number of requests that the other gates have in
-// flight at each upstream and the slowdowns of the slow upstreams, both by
-// Upstream.Key. Only the control goroutine may call it.
-func (f *Fleet) UpdateRemoteLoads(loads map[uint64]int, slowdowns map[uint64]float64) {
+// flight at each upstream, the slowdowns of the slow upstreams and the upstreams
+// that other gates take to be silent, all by Upstream.Key. Only the control
+// goroutine may call it.
+func (f *Fleet) UpdateRemoteLoads(loads map[uint64]int, slowdowns map[uint64]float64, silent map[uint64]bool) {
 	for _, u := range f.upstreams {
+		u.remoteSilent.Store(silent[u.Key])
 		u.remote.Store(int64(loads[u.Key]))
 		u.slowdown.Store(math.Float64bits(max(1, slowdowns[u.Key])))
 	}
@@ -226,7 +230,9 @@
 
 // BeginRequest counts a request that is about to be sent to the upstream.
 func (f *Fleet) BeginRequest(u *Upstream) {
-	u.local.Add(1)
+	if u.local.Add(1) == 1 {
+		u.busySince.Store(int64(time.Since(processStart)))
+	}
 	f.notifyLoadChange()
 }
 
--- a/gate/process/fleet/fleet_test.go
+++ b/gate/process/fleet/fleet_test.go
@@ -55,7 +55,7 @@
 	now := time.Now()
 	first := p.Pick(now, config.Pools["p"], nil)
 	p.Fleet.EndRequest(now, first, fleet.Succeeded)
-	p.Fleet.UpdateRemoteLoads(map[uint64]int{first.Key: 2}, nil)
+	p.Fleet.UpdateRemoteLoads(map[uint64]int{first.Key: 2}, nil, nil)
 	for range 2 {
 		g.Expect(p.Pick(now, config.Pools["p"], nil)).NotTo(Equal(first))
 	}
@@ -220,7 +220,7 @@
 	p.Fleet.MarkGroupDown(now, u, "10.9.9.9:1")
 	g.Expect(p.Pick(now, pool, nil)).To(BeNil())
 	g.Expect(p.PoolState(now, pool)).To(Equal(fleet.PoolDown))
-	g.Expect(p.Fleet.DownGroups()).To(HaveKey("g"))
+	g.Expect(p.Fleet.StandingGroups()).To(HaveKey("g"))
 	p.Fleet.Update(now, entries, nil, config)
 	g.Expect(p.Pick(now, pool, nil)).To(BeNil(), "the entries are from the epoch in which the group was marked down")
 	updated := map[string]*core.ListedUpstream{}
@@ -230,9 +230,76 @@
 		updated[id] = &c
 	}
 	p.Fleet.Update(now, updated, nil, config)
+	u = p.Pick(now, pool, nil)
+	g.Expect(u).NotTo(BeNil())
+	g.Expect(p.Pick(now, pool, nil)).To(BeNil(), "a group on trial gets as many requests as this gate's share of its ranks")
+	p.Fleet.BeginStream(u).Event(now.Add(time.Millisecond))
 	g.Expect(p.Pick(now, pool, nil)).NotTo(BeNil())
 }
 
+// TestSilentRank guards against a rank whose machine is frozen and that gets one
+// request after the other, all of which reach it after their callers have left, and
+// against leaving alone a rank that answers again.
+func TestSilentRank(t *testing.T) {
+	g := NewWithT(t)
+	pool := &core.PoolConfig{Name: "p", Engine: &core.EngineConfig{MaxSequences: 12}}
+	p, _, _ := newPicker(2, pool, func(i int, entry *core.ListedUpstream) {
+		entry.Group = core.GroupMembership{Name: "g", Epoch: 3, Rank: i, Size: 2}
+	})
+	start := time.Now()
+	received := map[*fleet.Upstream]int{}
+	var frozen *fleet.Upstream
+	for at := time.Duration(0); at < 3*time.Second; at += 10 * time.Millisecond {
+		now := start.Add(at)
+		p.Fleet.CheckSilence(now)
+		if at%(50*time.Millisecond) != 0 {
+			continue
+		}
+		u := p.Pick(now, pool, nil)
+		g.Expect(u).NotTo(BeNil())
+		if frozen == nil {
+			frozen = u
+		}
+		received[u]++
+		if u != frozen {
+			p.Fleet.Hear(now, u)
+			p.Fleet.EndRequest(now, u, fleet.Succeeded)
+		}
+	}
+	// Requests wait at the frozen rank from the start, so it is found silent after
+	// 300 ms, in which six requests arrive.
+	g.Expect(received[frozen]).To(BeNumerically("<=", 6))
+	g.Expect(p.Fleet.SilentRanks()).To(ConsistOf(frozen))
+	now := start.Add(3 * time.Second)
+	p.Fleet.Hear(now, frozen)
+	for u := range received {
+		if u != frozen {
+			g.Expect(p.Pick(now, pool, []*fleet.Upstream{u})).To(Equal(frozen))
+		}
+	}
+}
+
+// TestSilentPlainUpstream guards against a back end that is frozen and gets more
+// than a few requests, and against leaving one alone because one response was lost.
+func TestSilentPlainUpstream(t *testing.T) {
+	g := NewWithT(t)
+	pool := &core.PoolConfig{Name: "p"}
+	p, _, _ := newPicker(1, pool, func(_ int, entry *core.ListedUpstream) { entry.MaxSequences = 6 })
+	now := time.Now()
+	u := p.Pick(now, pool, nil)
+	now = now.Add(time.Second)
+	p.Fleet.CheckSilence(now)
+	g.Expect(p.Pick(now, pool, nil)).To(Equal(u), "one response may be lost alone")
+	p.Fleet.CheckSilence(now.Add(time.Second))
+	g.Expect(p.Pick(now, pool, nil)).To(BeNil())
+	p.Fleet.EndRequest(now, u, fleet.Inconclusive)
+	p.Fleet.EndRequest(now, u, fleet.Inconclusive)
+	g.Expect(p.Pick(now, pool, nil)).To(Equal(u), "one request at a time shows whether it answers")
+	g.Expect(p.Pick(now, pool, nil)).To(BeNil())
+	p.Fleet.Hear(now, u)
+	g.Expect(p.Pick(now, pool, nil)).To(Equal(u))
+}
+
 // TestEventGapLimit guards against running so many sequences that the event gaps
 // of all streams become too long, and against a reduced capacity that persists
 // after the measured gaps are outdated.
@@ -270,7 +337,7 @@
 	now := time.Now()
 	slow := p.Pick(now, pool, nil)
 	p.Fleet.EndRequest(now, slow, fleet.Succeeded)
-	p.Fleet.UpdateRemoteLoads(nil, map[uint64]float64{slow.Key: 5})
+	p.Fleet.UpdateRemoteLoads(nil, map[uint64]float64{slow.Key: 5}, nil)
 	for range 7 {
 		g.Expect(p.Pick(now, pool, nil)).NotTo(Equal(slow))
 	}
--- a/gate/process/fleet/groups.go
+++ b/gate/process/fleet/groups.go
@@ -2,106 +2,333 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"parsleyroute.example/core"
+	"parsleyroute.example/gate/process/policy"
 )
 
-// groups holds the groups of ranks that are down: a rank is missing, so the
-// others cannot run forward passes either. It is safe for concurrent use.
+// groups holds the rank groups of all pools by name. It is safe for concurrent
+// use.
 type groups struct {
-	mu   sync.Mutex
-	down map[string]downGroup
+	mu     sync.Mutex
+	byName map[string]*groupState
 }
 
-type downGroup struct {
-	// epoch is the group's epoch when it was marked down.
-	epoch uint64
-	since time.Time
+// groupState is what a gate knows of one group.
+type groupState struct {
+	standstill policy.Standstill
+	// lastEvent is the time of this gate's last event from the group, in
+	// nanoseconds since processStart; zero if there was none. waiting counts its
+	// streams that have had an event and wait for the next one.
+	lastEvent atomic.Int64
+	waiting   atomic.Int64
+	// suspect is the rank that last did not answer while the group stood.
+	suspect string
 }
 
-// MarkGroupDown marks the group of an upstream as down after the upstream refused
-// a request because of another rank. failedUpstream is the address of that rank.
-// The call has no effect if it is empty or the address of the upstream itself.
-func (f *Fleet) MarkGroupDown(now time.Time, u *Upstream, failedUpstream string) {
+// GroupProgress tells what one gate, or several together, have seen of a group.
+type GroupProgress struct {
+	// Idle is the time since the last event from the group.
+	Idle time.Duration
+	// Waiting is the number of streams that wait for their next event.
+	Waiting int
+}
+
+// maxProgressAge is the time without an event after which a group is no longer
+// reported to other gates.
+const maxProgressAge = 5 * time.Second
+
+// group returns the state of the named group, or nil for upstreams without one.
+func (f *Fleet) group(name string) *groupState {
+	if name == "" {
+		return nil
+	}
+	f.groups.mu.Lock()
+	defer f.groups.mu.Unlock()
+	return f.groups.get(name)
+}
+
+func (g *groups) get(name string) *groupState {
+	s := g.byName[name]
+	if s == nil {
+		if g.byName == nil {
+			g.byName = map[string]*groupState{}
+		}
+		s = &groupState{}
+		g.byName[name] = s
+	}
+	return s
+}
+
+// StreamProgress records the events of one stream at a rank.
+type StreamProgress struct {
+	fleet   *Fleet
+	group   *groupState
+	name    string
+	epoch   uint64
+	started bool
+}
+
+// BeginStream returns the progress of a stream that has been sent to the upstream.
+func (f *Fleet) BeginStream(u *Upstream) *StreamProgress {
 	g := u.Entry().Group
-	if g.Name == "" || failedUpstream == "" || failedUpstream == u.Conns.Addr.String() {
+	return &StreamProgress{fleet: f, group: f.group(g.Name), name: g.Name, epoch: g.Epoch}
+}
+
+// Event records an event of the stream.
+func (p *StreamProgress) Event(now time.Time) {
+	if p.group == nil {
 		return
 	}
-	f.markDown(now, g, "refusal", failedUpstream)
+	if !p.started {
+		p.started = true
+		p.group.waiting.Add(1)
+		// The first event of a stream ends a trial without delay; those that follow
+		// are found by CheckGroups.
+		p.fleet.observeGroupEvent(p.name, p.group, now, now, "event")
+	}
+	p.group.lastEvent.Store(int64(now.Sub(processStart)))
 }
 
-// SuspectGroup marks the group of an upstream as down after a stream of the
-// upstream was lost and no stream of its pool has had an event recently. The
-// group gets no requests until one of its members reports that it runs.
-func (f *Fleet) SuspectGroup(now time.Time, u *Upstream) {
-	if g := u.Entry().Group; g.Name != "" {
-		f.markDown(now, g, "lost_stream", u.ID)
+// End records that no more events of the stream are expected.
+func (p *StreamProgress) End() {
+	if p.group != nil && p.started {
+		p.group.waiting.Add(-1)
+		p.started = false
 	}
 }
 
-// markDown marks a group as down. upstream is the address that a refusal
-// names, the ID of the upstream whose stream was lost, which need not be the one
-// that failed, or empty if the entries in the store say that the group is down.
-func (f *Fleet) markDown(now time.Time, g core.GroupMembership, source, upstream string) {
+// observeGroupEvent records an event at the given time.
+func (f *Fleet) observeGroupEvent(name string, g *groupState, now, at time.Time, source string) {
 	f.groups.mu.Lock()
 	defer f.groups.mu.Unlock()
-	if _, ok := f.groups.down[g.Name]; ok {
+	since := g.standstill.Since()
+	if g.standstill.ObserveEvent(at) {
+		// group_open is the event of a group that runs again.
+		f.DecisionLog.Log("group_open", "group", name, "epoch", g.standstill.Epoch(), "down_for", now.Sub(since), "source", source)
+	}
+}
+
+// LocalProgress returns what this gate has seen of its groups, by the hash of the
+// group's name.
+func (f *Fleet) LocalProgress() map[uint64]GroupProgress {
+	now := time.Now()
+	f.groups.mu.Lock()
+	defer f.groups.mu.Unlock()
+	progress := map[uint64]GroupProgress{}
+	for name, g := range f.groups.byName {
+		last := g.lastEvent.Load()
+		if idle := now.Sub(processStart) - time.Duration(last); last != 0 && idle < maxProgressAge {
+			progress[xxhash.Sum64String(name)] = GroupProgress{Idle: idle, Waiting: int(g.waiting.Load())}
+		}
+	}
+	return progress
+}
+
+// CheckGroups finds the groups that have come to a standstill, or run again, from
+// the events of this gate and from what the other gates have seen, by the hash of
+// the group's name. Only the control goroutine may call it.
+func (f *Fleet) CheckGroups(now time.Time, remote map[uint64]GroupProgress) {
+	epochs := map[string]core.GroupMembership{}
+	pools := map[string]string{}
+	for _, u := range f.upstreams {
+		if g := u.Entry().Group; g.Name != "" && g.Epoch >= epochs[g.Name].Epoch {
+			epochs[g.Name], pools[g.Name] = g, u.Entry().Pool
+		}
+	}
+	for name, membership := range epochs {
+		g := f.group(name)
+		other := remote[xxhash.Sum64String(name)]
+		if last := g.lastEvent.Load(); last != 0 {
+			f.observeGroupEvent(name, g, now, processStart.Add(time.Duration(last)), "event")
+		}
+		if other != (GroupProgress{}) {
+			f.observeGroupEvent(name, g, now, now.Add(-other.Idle), "peer")
+		}
+		f.groups.mu.Lock()
+		if g.standstill.Check(now, membership.Epoch, int(g.waiting.Load())+other.Waiting, f.meanGap(now, pools[name])) {
+			f.DecisionLog.Log("group_down", "group", name, "epoch", membership.Epoch, "source", "no_events", "idle", g.standstill.Idle(now), "waiting", int(g.waiting.Load()), "waiting_elsewhere", other.Waiting)
+		}
+		f.groups.mu.Unlock()
+	}
+	f.groups.mu.Lock()
+	defer f.groups.mu.Unlock()
+	for name, g := range f.groups.byName {
+		if _, ok := epochs[name]; !ok && g.waiting.Load() == 0 {
+			delete(f.groups.byName, name)
+		}
+	}
+}
+
+// MarkGroupDown marks the group of an upstream as standing after the upstream
+// refused a request because of another rank. failedUpstream is the address of that
+// rank. The call has no effect if it is empty or the address of the upstream
+// itself.
+func (f *Fleet) MarkGroupDown(now time.Time, u *Upstream, failedUpstream string) {
+	g := u.Entry().Group
+	if g.Name == "" || failedUpstream == "" || failedUpstream == u.Conns.Addr.String() {
+		return
+	}
+	suspect := ""
+	for _, other := range f.Snapshot().ByID {
+		if other.Conns.Addr.String() == failedUpstream {
+			suspect = other.ID
+		}
+	}
+	f.markDown(now, g, "refusal", failedUpstream, suspect)
+}
+
+// SuspectGroup marks the group of an upstream as standing after a stream of the
+// upstream was lost, if no stream of the group has had an event recently.
+func (f *Fleet) SuspectGroup(now time.Time, u *Upstream) {
+	m := u.Entry().Group
+	g := f.group(m.Name)
+	if g == nil {
 		return
 	}
-	if f.groups.down == nil {
-		f.groups.down = map[string]downGroup{}
+	f.groups.mu.Lock()
+	idle := g.standstill.Idle(now)
+	f.groups.mu.Unlock()
+	if min(idle, now.Sub(processStart)-time.Duration(g.lastEvent.Load())) > stallTimeout {
+		f.markDown(now, m, "lost_stream", u.ID, u.ID)
 	}
-	f.groups.down[g.Name] = downGroup{epoch: g.Epoch, since: now}
-	f.DecisionLog.Log("group_down", "group", g.Name, "epoch", g.Epoch, "source", source, "culprit", upstream)
 }
 
-// MarkGroupUp records that a group that was down runs forward passes again, in
-// the given epoch.
-func (f *Fleet) MarkGroupUp(now time.Time, name string, epoch uint64, source string) {
+// stallTimeout is the time without an event on any stream of a group after which
+// a lost stream is treated as a failure of the group. A forward pass takes a tenth
+// of that time.
+const stallTimeout = 700 * time.Millisecond
+
+// listSource is the source in the log if the entries in the store say whether a
+// group runs.
+const listSource = "list"
+
+// markDown marks a group as standing. culprit is what the log names as the cause:
+// the address that a refusal names, the ID of the upstream whose stream was lost,
+// which need not be the one that failed, or empty if the entries in the store say
+// that the group is down. suspect is the ID of the rank to ask first, or empty.
+func (f *Fleet) markDown(now time.Time, m core.GroupMembership, source, culprit, suspect string) {
 	f.groups.mu.Lock()
 	defer f.groups.mu.Unlock()
-	if d, ok := f.groups.down[name]; ok {
-		delete(f.groups.down, name)
-		// group_open is the event of a group that is up again.
-		f.DecisionLog.Log("group_open", "group", name, "epoch", epoch, "former", d.epoch, "down_for", now.Sub(d.since), "source", source)
+	g := f.groups.get(m.Name)
+	stop := g.standstill.Refuse
+	if source == listSource {
+		stop = g.standstill.Stop
 	}
+	if !stop(now, m.Epoch) {
+		return
+	}
+	g.suspect = suspect
+	f.DecisionLog.Log("group_down", "group", m.Name, "epoch", m.Epoch, "source", source, "culprit", culprit)
 }
 
-// DownGroups returns for each group that is down, by its name, one member that
-// is neither draining nor replaced.
-func (f *Fleet) DownGroups() map[string]*Upstream {
+// StandingGroup is a group that stands, with the upstreams to ask whether it runs
+// again.
+type StandingGroup struct {
+	Epoch uint64
+	// Suspect is the rank that last did not answer, or any rank.
+	Suspect *Upstream
+	// Members are all ranks of the group that are listed.
+	Members []*Upstream
+}
+
+// StandingGroups returns the groups that stand, by name.
+func (f *Fleet) StandingGroups() map[string]StandingGroup {
 	f.groups.mu.Lock()
 	defer f.groups.mu.Unlock()
-	if len(f.groups.down) == 0 {
+	var standing map[string]StandingGroup
+	for name, g := range f.groups.byName {
+		if g.standstill.State() != policy.GroupStands {
+			continue
+		}
+		if standing == nil {
+			standing = map[string]StandingGroup{}
+		}
+		standing[name] = StandingGroup{Epoch: g.standstill.Epoch()}
+	}
+	if standing == nil {
 		return nil
 	}
-	members := map[string]*Upstream{}
 	for _, u := range f.Snapshot().ByID {
 		name := u.Entry().Group.Name
-		if _, ok := f.groups.down[name]; ok && !u.Entry().Draining && !u.replaced.Load() {
-			// Map iteration order is random, so the member varies between calls.
-			members[name] = u
+		if s, ok := standing[name]; ok && !u.Entry().Draining && !u.replaced.Load() {
+			s.Members = append(s.Members, u)
+			// Map iteration order is random, so without a suspect the rank varies
+			// between calls.
+			if s.Suspect == nil || u.ID == f.groups.byName[name].suspect {
+				s.Suspect = u
+			}
+			standing[name] = s
 		}
 	}
-	return members
+	return standing
 }
 
-// isDown reports whether the upstream's group is down.
-func (f *Fleet) isDown(u *Upstream) bool {
-	name := u.Entry().Group.Name
-	if name == "" {
+// SuspectRank records the rank that did not answer while its group stood.
+func (f *Fleet) SuspectRank(name, id string) {
+	if g := f.group(name); g != nil {
+		f.groups.mu.Lock()
+		g.suspect = id
+		f.groups.mu.Unlock()
+	}
+}
+
+// BeginTrial puts a standing group on trial, since it has formed anew in the given
+// epoch or all its ranks answer. It reports whether the trial begins.
+func (f *Fleet) BeginTrial(now time.Time, name string, epoch uint64, source string) bool {
+	f.groups.mu.Lock()
+	defer f.groups.mu.Unlock()
+	g := f.groups.get(name)
+	former, since := g.standstill.Epoch(), g.standstill.Since()
+	if !g.standstill.BeginTrial(now, epoch) {
 		return false
 	}
+	f.DecisionLog.Log("group_trial", "group", name, "epoch", epoch, "former", former, "down_for", now.Sub(since), "source", source)
+	return true
+}
+
+// admitsRequests reports whether the upstream's group gets a request.
+func (f *Fleet) admitsRequests(u *Upstream) bool {
+	m := u.Entry().Group
+	if m.Name == "" {
+		return true
+	}
 	f.groups.mu.Lock()
 	defer f.groups.mu.Unlock()
-	_, ok := f.groups.down[name]
-	return ok
+	switch f.groups.get(m.Name).standstill.State() {
+	case policy.GroupStands:
+		return false
+	case policy.GroupOnTrial:
+		inFlight := 0
+		for _, other := range f.Snapshot().Pools[u.Entry().Pool] {
+			if other.Entry().Group.Name == m.Name {
+				inFlight += other.LocalLoad()
+			}
+		}
+		return inFlight < policy.TrialShare(m.Size, f.GateCount())
+	case policy.GroupRuns:
+	}
+	return true
 }
 
-// updateGroups marks groups down or up according to the entries of their members.
-// An entry may be outdated, so one of the epoch in which the group was marked
-// down does not mark it up.
+// recordTrial records that a request is sent to the upstream, for a group on
+// trial.
+func (f *Fleet) recordTrial(now time.Time, u *Upstream) {
+	if g := f.group(u.Entry().Group.Name); g != nil {
+		f.groups.mu.Lock()
+		g.standstill.RecordTrial(now)
+		f.groups.mu.Unlock()
+	}
+}
+
+// updateGroups marks groups as standing or puts them on trial according to the
+// entries of their members. An entry may be outdated: one of the epoch in which
+// the group was found standing says nothing new, and one that says that the group
+// is broken counts only if the group has had no events lately.
 func (f *Fleet) updateGroups(now time.Time, entries map[string]*core.ListedUpstream) {
 	newest := map[string]core.GroupMembership{}
 	for _, entry := range entries {
@@ -109,17 +336,21 @@
 			newest[g.Name] = g
 		}
 	}
-	for name, g := range newest {
-		if g.Broken {
-			// The source "list" is the list of entries in the store.
-			f.markDown(now, g, "list", "")
-			continue
-		}
+	for name, m := range newest {
+		g := f.group(name)
 		f.groups.mu.Lock()
-		d, ok := f.groups.down[name]
+		idle := min(g.standstill.Idle(now), now.Sub(processStart)-time.Duration(g.lastEvent.Load()))
+		standing, epoch := g.standstill.State() == policy.GroupStands, g.standstill.Epoch()
 		f.groups.mu.Unlock()
-		if ok && g.Epoch > d.epoch {
-			f.MarkGroupUp(now, name, g.Epoch, "list")
+		switch {
+		case m.Broken && idle > maxEventAge:
+			f.markDown(now, m, listSource, "", "")
+		case !m.Broken && standing && m.Epoch > epoch:
+			f.BeginTrial(now, name, m.Epoch, listSource)
 		}
 	}
 }
+
+// maxEventAge is the age of a group's last event up to which the group runs,
+// whatever an entry says.
+const maxEventAge = 300 * time.Millisecond
--- a/gate/process/fleet/pick.go
+++ b/gate/process/fleet/pick.go
@@ -55,6 +55,7 @@
 		}
 		if u.admitCold(now, p.coldAllowance(u, pool)) {
 			p.Fleet.BeginRequest(u)
+			p.Fleet.recordTrial(now, u)
 			return u
 		}
 		excluded = append(slices.Clip(excluded), u)
@@ -95,7 +96,7 @@
 	start := rand.IntN(max(1, len(upstreams)))
 	for i := range upstreams {
 		u := upstreams[(start+i)%len(upstreams)]
-		if slices.Contains(excluded, u) || u.unavailable(now) || u.Load() >= capacity(u) || p.Fleet.isDown(u) {
+		if slices.Contains(excluded, u) || u.unavailable(now) || u.Load() >= capacity(u) || !p.Fleet.admitsRequests(u) {
 			continue
 		}
 		score := (float64(u.Load()) + 1) * (1 + failureWeight*u.FailureRate(now)) * u.Slowdown()
@@ -135,7 +136,7 @@
 type PoolState int
 
 // An upstream is available unless it was replaced, is in backoff after lost
-// connections or belongs to a group that is down.
+// connections or belongs to a group that stands.
 const (
 	// PoolAvailable: at least one upstream has free capacity.
 	PoolAvailable PoolState = iota
@@ -152,7 +153,7 @@
 	upstreams := p.Fleet.Snapshot().Pools[pool.Name]
 	capacity := p.capacityFunc(now, pool, upstreams)
 	for _, u := range upstreams {
-		if u.unavailable(now) || p.Fleet.isDown(u) {
+		if u.unavailable(now) || !p.Fleet.admitsRequests(u) {
 			continue
 		}
 		if u.Load() < capacity(u) {
--- a/gate/process/fleet/upstream.go
+++ b/gate/process/fleet/upstream.go
@@ -67,6 +67,15 @@
 	local  atomic.Int64
 	remote atomic.Int64
 
+	// lastHeard is the time at which anything was last received from the upstream,
+	// busySince the time since which this gate has requests in flight at it, both in
+	// nanoseconds since processStart.
+	lastHeard atomic.Int64
+	busySince atomic.Int64
+	// silent is set while this gate takes the upstream to be silent, remoteSilent
+	// while another one does.
+	silent       atomic.Bool
+	remoteSilent atomic.Bool
 	// slowdown holds the result of Slowdown as the bits of a float64.
 	slowdown atomic.Uint64
 	// replaced is set once another process has responded at the address.
@@ -160,9 +169,9 @@
 }
 
 // unavailable reports whether the upstream gets no requests because it was
-// replaced or is in backoff after lost connections.
+// replaced, is in backoff after lost connections or is silent.
 func (u *Upstream) unavailable(now time.Time) bool {
-	return u.replaced.Load() || int64(now.Sub(processStart)) < u.backoffUntil.Load()
+	return u.replaced.Load() || int64(now.Sub(processStart)) < u.backoffUntil.Load() || u.leftAlone(now)
 }
 
 // extendCold makes the upstream count as cold until the given time or longer.
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"parsleyroute.example/core/process/evlog"
 	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/core/wire"
+	"parsleyroute.example/gate/process/fleet"
 )
 
 const (
@@ -65,6 +66,12 @@
 	// Slowdowns returns the factors by which upstreams are slower than healthy
 	// ones, by the key of the upstream, for those that this gate knows to be slow.
 	Slowdowns func() map[uint64]float64
+	// Silent returns the keys of the upstreams that this gate takes to be silent. It
+	// may be nil.
+	Silent func() map[uint64]bool
+	// Progress returns what this gate has seen of the rank groups, by the hash of
+	// the group's name. It may be nil.
+	Progress func() map[uint64]fleet.GroupProgress
 	// KnownRevisions returns the revisions of the store that this gate knows.
 	KnownRevisions func() []*wire.KindRevision
 	// Watching reports whether the gate watches the store itself.
@@ -174,8 +181,23 @@
 		// The wire field is called Pace; a higher value is slower.
 		b.Loads = append(b.Loads, &wire.UpstreamLoad{Key: key, Pace: uint32(slowdown * slowdownScale)})
 	}
-	for key, n := range g.Loads() {
-		b.Loads = append(b.Loads, &wire.UpstreamLoad{Key: key, Inflight: uint32(n)})
+	var silent map[uint64]bool
+	if g.Silent != nil {
+		silent = g.Silent()
+	}
+	loads := g.Loads()
+	for key, n := range loads {
+		b.Loads = append(b.Loads, &wire.UpstreamLoad{Key: key, Inflight: uint32(n), Silent: silent[key]})
+	}
+	for key := range silent {
+		if _, ok := loads[key]; !ok {
+			b.Loads = append(b.Loads, &wire.UpstreamLoad{Key: key, Silent: true})
+		}
+	}
+	if g.Progress != nil {
+		for key, p := range g.Progress() {
+			b.Groups = append(b.Groups, &wire.GroupProgress{Key: key, IdleMs: uint32(p.Idle.Milliseconds()), Streams: uint32(p.Waiting)})
+		}
 	}
 	// Map iteration order is random, so the omitted loads vary between heartbeats.
 	b.Loads = b.Loads[:min(len(b.Loads), maxLoads)]
--- a/gate/process/gossip/peers.go
+++ b/gate/process/gossip/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"parsleyroute.example/core/wire"
+	"parsleyroute.example/gate/process/fleet"
 )
 
 const (
@@ -110,6 +111,17 @@
 	return slowdowns
 }
 
+// RemoteSilent returns the keys of the upstreams that other gates take to be silent.
+func (g *Gossip) RemoteSilent() map[uint64]bool {
+	silent := map[uint64]bool{}
+	g.eachLoad(func(l *wire.UpstreamLoad) {
+		if l.GetSilent() {
+			silent[l.GetKey()] = true
+		}
+	})
+	return silent
+}
+
 // eachLoad calls f with each load in the last heartbeats of the peers, except for
 // heartbeats older than maxLoadAge.
 func (g *Gossip) eachLoad(f func(*wire.UpstreamLoad)) {
@@ -126,6 +138,36 @@
 	}
 }
 
+// maxProgressAge is the maximum age of a heartbeat whose progress of groups counts.
+// A gate that is cut off or frozen last reported streams that it no longer has.
+const maxProgressAge = 300 * time.Millisecond
+
+// RemoteProgress returns what the other gates have seen of the rank groups, by the
+// hash of the group's name: the time since the latest event of any of them, and the
+// number of all their waiting streams.
+func (g *Gossip) RemoteProgress() map[uint64]fleet.GroupProgress {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	progress := map[uint64]fleet.GroupProgress{}
+	for _, p := range g.peers {
+		age := now.Sub(p.lastHeard)
+		if p.heartbeat == nil || age > maxProgressAge {
+			continue
+		}
+		for _, group := range p.heartbeat.GetGroups() {
+			idle := age + time.Duration(group.GetIdleMs())*time.Millisecond
+			total, ok := progress[group.GetKey()]
+			if !ok || idle < total.Idle {
+				total.Idle = idle
+			}
+			total.Waiting += int(group.GetStreams())
+			progress[group.GetKey()] = total
+		}
+	}
+	return progress
+}
+
 // GateCount returns the number of gates that may be sending requests, including
 // this one.
 func (g *Gossip) GateCount() int {
--- a/gate/process/policy/silence.go
+++ b/gate/process/policy/silence.go
@@ -16,6 +16,10 @@
 	// maxActivityAge is the age of a pool's last event up to which the pool counts
 	// as active. The streams of an inactive pool all wait for the same reason.
 	maxActivityAge = 300 * time.Millisecond
+	// minUpstreamSilence is the shortest time after which an upstream that has not
+	// been heard counts as silent. It is two to three of the longest gaps between
+	// events that routes allow.
+	minUpstreamSilence = 300 * time.Millisecond
 	// firstWaitWeight is the weight of a new wait in the moving average.
 	firstWaitWeight = 0.1
 )
@@ -45,13 +49,6 @@
 	}
 }
 
-// Idle returns the time since the last event of any stream of the pool.
-func (s *Silence) Idle(now time.Time) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Sub(s.lastEvent)
-}
-
 // Silent reports whether a stream that has been waiting for its next event for the
 // given time is to be resumed elsewhere. started is set if the attempt has had an
 // event.
@@ -67,3 +64,14 @@
 	}
 	return wait > limit
 }
+
+// UpstreamSilent reports whether an upstream is to get no more requests, since
+// requests wait at it and nothing has been heard from it for the given time. It
+// answers an upstream whose machine is frozen or that is cut off: what is written to
+// it meanwhile reaches it long after the callers have left. Leaving out an upstream
+// that is only slow costs little, so the limit is short.
+func (s *Silence) UpstreamSilent(wait time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wait > max(minUpstreamSilence, silenceFactor*s.firstWait)
+}
--- a/gate/request/relay/answer.go
+++ b/gate/request/relay/answer.go
@@ -49,6 +49,7 @@
 	if t.route.Kind == core.RouteStream && h.StatusCode() == fasthttp.StatusOK && t.authentic(h, info) {
 		return info, t.forwardEvents(ctx, h, body, w)
 	}
+	w.recordResponse()
 	data, more, err := readBody(body)
 	switch {
 	case err != nil:
--- a/gate/request/relay/attempt.go
+++ b/gate/request/relay/attempt.go
@@ -14,13 +14,6 @@
 	"parsleyroute.example/gate/process/fleet"
 )
 
-const (
-	// stallTimeout is the time without an event on any stream of a pool after
-	// which a lost stream is treated as a failure of the upstream's group. A
-	// forward pass takes a tenth of that time.
-	stallTimeout = 700 * time.Millisecond
-)
-
 // attemptStatus is the result of an attempt to run a request on one upstream.
 type attemptStatus int
 
@@ -71,7 +64,7 @@
 		res.outcome = fleet.Inconclusive
 	}
 	t.relay.Picker.Fleet.EndRequest(time.Now(), u, res.outcome)
-	if res.status == attemptLost && t.route.Kind == core.RouteStream && t.poolState.silence.Idle(time.Now()) > stallTimeout {
+	if res.status == attemptLost && t.route.Kind == core.RouteStream {
 		t.relay.Picker.Fleet.SuspectGroup(time.Now(), u)
 	}
 	if res.status != attemptDone {
@@ -115,7 +108,7 @@
 		return attemptResult{status: attemptUnsent, outcome: fleet.ConnectionLost, err: err}
 	}
 	var h fasthttp.ResponseHeader
-	w := t.startWatchdog(c)
+	w := t.startWatchdog(c, u)
 	info, res := t.receive(ctx, u, c, &h, w)
 	w.stop()
 	if stop() && res.complete {
--- a/gate/request/relay/relay.go
+++ b/gate/request/relay/relay.go
@@ -51,7 +51,7 @@
 type poolState struct {
 	queue   *admit.Queue
 	budget  *RetryBudget
-	silence policy.Silence
+	silence *policy.Silence
 	// downSince is the start of the current outage, in nanoseconds since
 	// processStart. It is zero if the last request found the pool up.
 	downSince atomic.Int64
@@ -85,8 +85,9 @@
 			r.pools = map[string]*poolState{}
 		}
 		p = &poolState{
-			queue:  &admit.Queue{Clock: clock.Real{}, MaxLength: maxQueueLength},
-			budget: &RetryBudget{Ratio: r.RetryLimits.Ratio, Burst: r.RetryLimits.Burst, Window: r.RetryLimits.Window},
+			queue:   &admit.Queue{Clock: clock.Real{}, MaxLength: maxQueueLength},
+			silence: r.Picker.Fleet.Silence(name),
+			budget:  &RetryBudget{Ratio: r.RetryLimits.Ratio, Burst: r.RetryLimits.Burst, Window: r.RetryLimits.Window},
 		}
 		r.pools[name] = p
 	}
--- a/gate/request/relay/relay_test.go
+++ b/gate/request/relay/relay_test.go
@@ -510,7 +510,7 @@
 		}
 		Expect(took()).To(BeNumerically(">", time.Second))
 		Expect(took()).To(BeNumerically("<", 300*time.Millisecond))
-		s.fleet.MarkGroupUp(time.Now(), groupName, 2, "test")
+		s.fleet.BeginTrial(time.Now(), groupName, 2, "test")
 		Expect(took()).To(BeNumerically(">", time.Second))
 	})
 
@@ -523,7 +523,7 @@
 		go func() {
 			time.Sleep(400 * time.Millisecond)
 			s.workers[0].SetScript(sendEvents(1, 1))
-			s.fleet.MarkGroupUp(time.Now(), groupName, 2, "test")
+			s.fleet.BeginTrial(time.Now(), groupName, 2, "test")
 		}()
 		go func() {
 			// The gate looks for free slots periodically.
--- a/gate/request/relay/watchdog.go
+++ b/gate/request/relay/watchdog.go
@@ -7,6 +7,7 @@
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/gate/conn/outlet"
+	"parsleyroute.example/gate/process/fleet"
 )
 
 const (
@@ -22,6 +23,8 @@
 type watchdog struct {
 	transaction *transaction
 	conn        *outlet.Conn
+	upstream    *fleet.Upstream
+	progress    *fleet.StreamProgress
 
 	mu        sync.Mutex
 	lastEvent time.Time
@@ -33,8 +36,8 @@
 
 // startWatchdog returns a watchdog of the connection. It does nothing if the
 // request cannot be retried, or is not a stream and its route has no objective.
-func (t *transaction) startWatchdog(c *outlet.Conn) *watchdog {
-	w := &watchdog{transaction: t, conn: c, lastEvent: time.Now()}
+func (t *transaction) startWatchdog(c *outlet.Conn, u *fleet.Upstream) *watchdog {
+	w := &watchdog{transaction: t, conn: c, upstream: u, lastEvent: time.Now(), progress: t.relay.Picker.Fleet.BeginStream(u)}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
@@ -55,6 +58,18 @@
 	w.lastEvent, w.started = now, true
 	w.mu.Unlock()
 	w.transaction.poolState.silence.ObserveEvent(now, wait, first)
+	w.progress.Event(now)
+	w.transaction.relay.Picker.Fleet.Hear(now, w.upstream)
+}
+
+// recordResponse records the header of a response that is no stream.
+func (w *watchdog) recordResponse() {
+	now := time.Now()
+	w.mu.Lock()
+	wait := now.Sub(w.lastEvent)
+	w.mu.Unlock()
+	w.transaction.poolState.silence.ObserveEvent(now, wait, true)
+	w.transaction.relay.Picker.Fleet.Hear(now, w.upstream)
 }
 
 // check closes the connection if its stream counts as silent.
@@ -88,6 +103,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
+	w.progress.End()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -4,13 +4,16 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/clock"
+	"parsleyroute.example/gate/process/fleet"
 	"parsleyroute.example/gate/process/ranks"
 	"parsleyroute.example/gate/process/view"
 	"parsleyroute.example/gate/version/route"
@@ -29,8 +32,8 @@
 	// idleSweepInterval is the interval at which expired idle connections are
 	// closed.
 	idleSweepInterval = 500 * time.Millisecond
-	// groupPollInterval is the interval at which groups that are down are
-	// polled, and groupPollTimeout limits one call.
+	// groupPollInterval is the interval at which groups that stand are polled, and
+	// groupPollTimeout limits one call.
 	groupPollInterval = 120 * time.Millisecond
 	groupPollTimeout  = 100 * time.Millisecond
 	// registerRetryDelay is the delay before another attempt to register in the
@@ -84,7 +87,7 @@
 	updateLoads := func() {
 		slowdowns := g.gossip.RemoteSlowdowns()
 		maps.Copy(slowdowns, g.slowRanks())
-		g.fleet.UpdateRemoteLoads(g.gossip.RemoteLoads(), slowdowns)
+		g.fleet.UpdateRemoteLoads(g.gossip.RemoteLoads(), slowdowns, g.gossip.RemoteSilent())
 		lastUpdate = time.Now()
 	}
 	for {
@@ -102,6 +105,8 @@
 		case now := <-tick.C:
 			g.fleet.SetGateCount(g.gossip.GateCount())
 			updateLoads()
+			g.fleet.CheckGroups(now, g.gossip.RemoteProgress())
+			g.fleet.CheckSilence(now)
 			g.relay.Tick()
 			if now.Sub(lastSweep) > idleSweepInterval {
 				g.fleet.CloseIdleConnections(now)
@@ -124,10 +129,14 @@
 	}
 }
 
-// pollDownGroups asks a member of each group that is down whether the group is
-// up again, since the store reports that only after the next periodic write of a
-// member's entry.
-func (g *Gate) pollDownGroups(ctx context.Context) {
+// pollStandingGroups asks the ranks of each group that stands whether the group
+// runs again, since the store reports that only after the next periodic write of a
+// member's entry. A rank in a new epoch is evidence that the group has formed anew.
+// In the same epoch all ranks must answer, since a rank that is well answers also
+// while another one stops the group. The rank that last did not answer is asked
+// first, so that a standstill costs a call for each interval and not one for each
+// rank.
+func (g *Gate) pollStandingGroups(ctx context.Context) {
 	tick := time.NewTicker(groupPollInterval)
 	defer tick.Stop()
 	for {
@@ -136,18 +145,76 @@
 			return
 		case <-tick.C:
 		}
-		for name, u := range g.fleet.DownGroups() {
-			rctx, cancel := context.WithTimeout(ctx, groupPollTimeout)
-			r, err := g.ranks.Report(rctx, core.RankAddr{Instance: u.ID, Engine: u.Conns.Addr}, false)
-			cancel()
-			if err == nil && r.Open && r.Group == name {
-				g.fleet.MarkGroupUp(time.Now(), name, r.Epoch, u.ID)
-				g.relay.Tick()
+		for name, s := range g.fleet.StandingGroups() {
+			g.pollStandingGroup(ctx, name, s)
+		}
+		silent := g.fleet.SilentRanks()
+		for i, r := range g.readReports(ctx, silent) {
+			if r != nil {
+				g.fleet.Hear(time.Now(), silent[i])
 			}
 		}
 	}
 }
 
+func (g *Gate) pollStandingGroup(ctx context.Context, name string, s fleet.StandingGroup) {
+	if s.Suspect == nil {
+		return
+	}
+	any := s.Members[rand.IntN(len(s.Members))]
+	answers := g.readReports(ctx, []*fleet.Upstream{s.Suspect, any})
+	for _, r := range answers {
+		if r != nil && r.Open && r.Group == name && r.Epoch > s.Epoch {
+			g.beginTrial(name, r.Epoch, any.ID)
+			return
+		}
+	}
+	if !runsIn(answers[0], name, s.Epoch) {
+		g.fleet.SuspectRank(name, s.Suspect.ID)
+		return
+	}
+	if len(s.Members) < s.Suspect.Entry().Group.Size {
+		return
+	}
+	for i, r := range g.readReports(ctx, s.Members) {
+		if !runsIn(r, name, s.Epoch) {
+			g.fleet.SuspectRank(name, s.Members[i].ID)
+			return
+		}
+	}
+	g.beginTrial(name, s.Epoch, "all_ranks")
+}
+
+// runsIn reports whether a rank states that it is in the group in the given epoch,
+// and that neither a missing rank nor a switch of maps holds it.
+func runsIn(r *core.RankReport, name string, epoch uint64) bool {
+	return r != nil && r.Open && !r.Held && r.Group == name && r.Epoch == epoch
+}
+
+func (g *Gate) beginTrial(name string, epoch uint64, source string) {
+	if g.fleet.BeginTrial(time.Now(), name, epoch, source) {
+		g.relay.Tick()
+	}
+}
+
+// readReports returns the reports of the ranks, nil for each that does not answer
+// in time.
+func (g *Gate) readReports(ctx context.Context, upstreams []*fleet.Upstream) []*core.RankReport {
+	rctx, cancel := context.WithTimeout(ctx, groupPollTimeout)
+	defer cancel()
+	reports := make([]*core.RankReport, len(upstreams))
+	var wg sync.WaitGroup
+	for i, u := range upstreams {
+		wg.Go(func() {
+			if r, err := g.ranks.Report(rctx, core.RankAddr{Instance: u.ID, Engine: u.Conns.Addr}, false); err == nil {
+				reports[i] = &r
+			}
+		})
+	}
+	wg.Wait()
+	return reports
+}
+
 // register writes this gate's address to the store and reads the addresses of
 // the other gates there, for gates whose seeds no longer run. It retries until
 // it succeeds.
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -89,7 +89,7 @@
 	wg.Go(func() { g.runControlLoop(base) })
 	wg.Go(func() { g.register(base) })
 	wg.Go(func() { g.leader.Run(base) })
-	wg.Go(func() { g.pollDownGroups(base) })
+	wg.Go(func() { g.pollStandingGroups(base) })
 	wg.Go(func() {
 		if err := g.gossip.Run(base); err != nil {
 			g.DecisionLog.Log("gossip_failed", "error", err)
@@ -130,7 +130,7 @@
 	}
 	g.gossip = &gossip.Gossip{
 		Listen: s.Peers, Seeds: s.Seeds, Instance: s.Instance, Zone: s.Zone, Incarnation: start.Incarnation(),
-		DecisionLog: g.DecisionLog, Loads: g.fleet.LocalLoads, Slowdowns: g.slowRanks, KnownRevisions: g.view.KnownRevisions, Leaving: g.draining.Load, Watching: g.view.Watching,
+		DecisionLog: g.DecisionLog, Loads: g.fleet.LocalLoads, Progress: g.fleet.LocalProgress, Silent: g.fleet.LocalSilent, Slowdowns: g.slowRanks, KnownRevisions: g.view.KnownRevisions, Leaving: g.draining.Load, Watching: g.view.Watching,
 		OnHeartbeat: func(addr netip.AddrPort, b *wire.Beat) {
 			g.view.ObservePeer(base, addr, b.GetKnown())
 			select {
