--- a/gate/process/fleet/fleet_test.go
+++ b/gate/process/fleet/fleet_test.go
@@ -237,6 +237,18 @@
 	g.Expect(p.Pick(now, pool, nil)).NotTo(BeNil())
 }
 
+// TestBrokenGroupAtStart guards against a gate that has just started and sends its
+// first requests to a group that its first list says is broken.
+func TestBrokenGroupAtStart(t *testing.T) {
+	g := NewWithT(t)
+	pool := &core.PoolConfig{Name: "p", Engine: &core.EngineConfig{MaxSequences: 4}}
+	p, entries, config := newPicker(1, pool, nil)
+	c := *entries["i-0"]
+	c.Group = core.GroupMembership{Name: "g", Epoch: 2, Size: 1, Broken: true}
+	p.Fleet.Update(time.Now(), map[string]*core.ListedUpstream{"i-0": &c}, nil, config)
+	g.Expect(p.Pick(time.Now(), pool, nil)).To(BeNil())
+}
+
 // TestSilentRank guards against a rank whose machine is frozen and that gets one
 // request after the other, all of which reach it after their callers have left, and
 // against leaving alone a rank that answers again.
--- a/gate/process/fleet/groups.go
+++ b/gate/process/fleet/groups.go
@@ -30,6 +30,16 @@
 	suspect string
 }
 
+// idle returns the time since the last event of any gate's stream at the group. It
+// is very long if there was none. groups.mu must be held.
+func (s *groupState) idle(now time.Time) time.Duration {
+	idle := s.standstill.Idle(now)
+	if last := s.lastEvent.Load(); last != 0 {
+		idle = min(idle, now.Sub(processStart)-time.Duration(last))
+	}
+	return idle
+}
+
 // GroupProgress tells what one gate, or several together, have seen of a group.
 type GroupProgress struct {
 	// Idle is the time since the last event from the group.
@@ -191,9 +201,9 @@
 		return
 	}
 	f.groups.mu.Lock()
-	idle := g.standstill.Idle(now)
+	idle := g.idle(now)
 	f.groups.mu.Unlock()
-	if min(idle, now.Sub(processStart)-time.Duration(g.lastEvent.Load())) > stallTimeout {
+	if idle > stallTimeout {
 		f.markDown(now, m, "lost_stream", u.ID, u.ID)
 	}
 }
@@ -339,7 +349,7 @@
 	for name, m := range newest {
 		g := f.group(name)
 		f.groups.mu.Lock()
-		idle := min(g.standstill.Idle(now), now.Sub(processStart)-time.Duration(g.lastEvent.Load()))
+		idle := g.idle(now)
 		standing, epoch := g.standstill.State() == policy.GroupStands, g.standstill.Epoch()
 		f.groups.mu.Unlock()
 		switch {
