Ask refused callers back after the time that the shortage has lasted

Hypothesis: two constants (2.5 s in an outage, 0.6 s with all slots taken) send callers back into a long overload at once, where they lose their last try, and keep them away too long after a short outage. Change: policy.Shortage: Retry-After is the age of the shortage, at least 0.6 s, at most a third of the time left, spread by 20%.

--- /dev/null
+++ b/gate/process/policy/comeback.go
@@ -0,0 +1,50 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// minReturn is the shortest time after which a refused caller is asked to come
+	// back. A slot becomes free within that time, and a group that has all its ranks
+	// forms.
+	minReturn = 600 * time.Millisecond
+	// returnDivisor divides the time that a caller has left to give the longest time
+	// after which it is asked to come back. Callers ignore longer ones.
+	returnDivisor = 3
+	// returnSpread is the fraction by which the times are spread, so that callers
+	// that were refused together do not come back together.
+	returnSpread = 0.2
+	// calmAfter is the time without a refusal after which a shortage has ended.
+	calmAfter = time.Second
+)
+
+// Shortage estimates when a pool serves a refused caller. It answers outages and
+// overloads of unknown length. Without other knowledge, a shortage that has lasted
+// for some time is expected to last as long again: a caller that is refused early
+// comes back soon, and one that is refused in a long shortage is not sent back into
+// it and does not lose its last try there.
+//
+// The zero value is ready to use. It is safe for concurrent use.
+type Shortage struct {
+	mu sync.Mutex
+	// since is the time of the first refusal of the present shortage, and last that
+	// of the latest one.
+	since, last time.Time
+}
+
+// Refuse records a refusal and returns the time after which the caller is to come
+// back, given the time that it has left.
+func (s *Shortage) Refuse(now time.Time, left time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.last) > calmAfter {
+		s.since = now
+	}
+	s.last = now
+	expected := max(minReturn, now.Sub(s.since))
+	spread := 1 + returnSpread*(2*rand.Float64()-1)
+	return max(0, min(time.Duration(spread*float64(expected)), left/returnDivisor))
+}
--- a/gate/request/relay/refuse.go
+++ b/gate/request/relay/refuse.go
@@ -91,8 +91,9 @@
 // refuse writes an error response that guarantees that the request has not run.
 // A retryAfter of zero omits the Retry-After header.
 func (t *transaction) refuse(status int, reason core.Reason, message string, retryAfter time.Duration) {
+	now := time.Now()
 	if !t.deadline.IsZero() && retryAfter > 0 {
-		retryAfter = max(0, min(retryAfter, time.Until(t.deadline)/retryAfterDivisor))
+		retryAfter = t.poolState.shortage.Refuse(now, t.deadline.Sub(now))
 	}
 	t.respondError(status, reason, core.NotExecuted, message, retryAfter)
 }
--- a/gate/request/relay/relay.go
+++ b/gate/request/relay/relay.go
@@ -49,9 +49,10 @@
 // and the start of an outage. Whether the pool is up or down at a given time is
 // fleet.PoolState.
 type poolState struct {
-	queue   *admit.Queue
-	budget  *RetryBudget
-	silence *policy.Silence
+	queue    *admit.Queue
+	budget   *RetryBudget
+	silence  *policy.Silence
+	shortage policy.Shortage
 	// downSince is the start of the current outage, in nanoseconds since
 	// processStart. It is zero if the last request found the pool up.
 	downSince atomic.Int64
