Send nothing to slow ranks, and use all slots if the gap limit is out of reach

Passes took 335 to 474 ms at any load; the number of sequences fell to 3 a rank to keep the gap limit of 120 ms, which no number keeps; two thirds of the callers were refused. With the others that full, the slow rank got requests, and its prompts kept the passes long. Change: a rank from a slowdown of 1.8 gets no requests while at most half of the ranks are slow. If the sequences within the gap limit serve less than half of what all slots serve, all slots are used: those responses are late either way.

--- a/gate/process/fleet/eventgap.go
+++ b/gate/process/fleet/eventgap.go
@@ -19,6 +19,9 @@
 	maxGapAge = 500 * time.Millisecond
 	// minSequences is the number of sequences that each rank may always run.
 	minSequences = 3
+	// lateValue is the value to its caller of a response with long event gaps,
+	// relative to one whose gaps are within the limit.
+	lateValue = 0.5
 )
 
 // gapMeter estimates the duration of a forward pass of a pool as the moving
@@ -100,7 +103,10 @@
 }
 
 // maxSequences returns the number of sequences, running and queued, that each rank
-// of a pool may have without exceeding the gap limit. It models the duration of a
+// of a pool may have without exceeding the gap limit. If passes are so long that the
+// few sequences within the limit would be worth less than all slots with late events,
+// as while a rank is slow or the experts are unevenly placed, it returns the latter:
+// refusing more requests then makes no response timely. It models the duration of a
 // forward pass with n running sequences as
 // factor x StepsPerPass x (StepTime + n x TimePerSequence). The factor is the ratio
 // of the measured gap to the modeled duration; an uneven load on the experts raises
@@ -125,7 +131,19 @@
 	meanLoad := float64(sequences) / float64(len(upstreams))
 	expected := float64(e.StepsPerPass) * (e.StepTime.Seconds() + meanLoad*e.TimePerSequence.Seconds())
 	factor := measured.Seconds() / expected
-	stepBudget := maxGapShare * limit.(time.Duration).Seconds() / (float64(e.StepsPerPass) * factor)
-	n := int((stepBudget - e.StepTime.Seconds()) / e.TimePerSequence.Seconds())
+	// sequencesWithin returns the number of sequences with which a pass takes the
+	// given time.
+	sequencesWithin := func(pass time.Duration) int {
+		step := pass.Seconds() / (float64(e.StepsPerPass) * factor)
+		return int((step - e.StepTime.Seconds()) / e.TimePerSequence.Seconds())
+	}
+	throughput := func(n int) float64 {
+		return float64(n) / (e.StepTime.Seconds() + float64(n)*e.TimePerSequence.Seconds())
+	}
+	gapLimit := limit.(time.Duration)
+	if n := sequencesWithin(gapLimit); n <= 0 || throughput(n) < lateValue*throughput(e.MaxSequences) {
+		return capacity
+	}
+	n := sequencesWithin(time.Duration(maxGapShare * float64(gapLimit)))
 	return min(max(n, minSequences), capacity)
 }
--- a/gate/process/fleet/pick.go
+++ b/gate/process/fleet/pick.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"parsleyroute.example/core"
 )
@@ -23,10 +24,10 @@
 	// queuedPerEngine is the number of requests that may be queued at an engine,
 	// so that the next forward pass fills a slot that has become free.
 	queuedPerEngine = 3
-	// slowThreshold is the slowdown from which an upstream gets requests only if
-	// all others are full. slowPenalty, in requests, ranks it behind them.
+	// slowThreshold is the slowdown from which a rank gets no requests, unless more
+	// than maxSlowShare of the ranks are that slow.
 	slowThreshold = 1.8
-	slowPenalty   = 1000
+	maxSlowShare  = 0.5
 	// zonePenalty is the cost of sending to another zone, in requests.
 	zonePenalty = 0.4
 	// defaultSlots is assumed for an upstream whose entry states no slots.
@@ -100,10 +101,6 @@
 			continue
 		}
 		score := (float64(u.Load()) + 1) * (1 + failureWeight*u.FailureRate(now)) * u.Slowdown()
-		if u.Slowdown() >= slowThreshold {
-			// All ranks of a group wait for the slowest one.
-			score += slowPenalty
-		}
 		if u.Zone != p.Zone {
 			score += zonePenalty
 		}
@@ -119,7 +116,16 @@
 func (p *Picker) capacityFunc(now time.Time, pool *core.PoolConfig, upstreams []*Upstream) func(*Upstream) int {
 	if pool.Engine != nil {
 		n := p.Fleet.maxSequences(now, pool, upstreams)
-		return func(u *Upstream) int { return max(1, int(float64(n)/u.Slowdown())) }
+		slow := lo.CountBy(upstreams, func(u *Upstream) bool { return u.Slowdown() >= slowThreshold })
+		avoidSlow := float64(slow) <= maxSlowShare*float64(len(upstreams))
+		return func(u *Upstream) int {
+			if avoidSlow && u.Slowdown() >= slowThreshold {
+				// All ranks of a group wait for the slowest one. A prompt that is read
+				// there makes the passes of all other requests longer.
+				return 0
+			}
+			return max(1, int(float64(n)/u.Slowdown()))
+		}
 	}
 	return func(u *Upstream) int {
 		// Without an engine, the entry's MaxSequences is the number of requests
