Bound what a faulty peer may send, and keep a panic to its request

Now a response without an id counts only on a new connection. - Interim responses, and the body of an answer to another request, were skipped without limit. Now 8 and 256 kB; then the connection is closed. - A stalled stream that sends comments counted as live. Only events with data do. - A panic in a request ended the gate. Now it resets that request's connection and is logged.

--- a/core/conn/rest/client.go
+++ b/core/conn/rest/client.go
@@ -12,6 +12,14 @@
 	"github.com/valyala/fasthttp"
 )
 
+const (
+	// maxResponseBody is the maximum size of a response body in bytes. A list of
+	// objects has about 1 MB, and one object at most 1 MB.
+	maxResponseBody = 8 << 20
+	// maxResponseHeader is the maximum size of a response header in bytes.
+	maxResponseHeader = 16 << 10
+)
+
 // Client is a pool of connections to one server. Its zero value is ready for
 // use. All calls go to the address of the first call.
 type Client struct {
@@ -45,7 +53,8 @@
 
 // Do sends one request and decodes the response into out, which may be nil. It
 // fails with the errors of Client.ParseError, or with trace.ConnectionProblem if
-// the call may have taken effect.
+// the call may have taken effect, as also after a response that exceeds
+// maxResponseBody or maxResponseHeader.
 func (c *Client) Do(ctx context.Context, addr netip.AddrPort, timeout time.Duration, r Request, out any) error {
 	c.once.Do(func() {
 		c.addr = addr.String()
@@ -62,6 +71,8 @@
 			// is closing.
 			MaxIdleConnDuration: 5 * time.Second,
 			MaxConnWaitTimeout:  time.Second,
+			MaxResponseBodySize: maxResponseBody,
+			ReadBufferSize:      maxResponseHeader,
 		}
 	})
 	var body []byte
--- a/gate/conn/inlet/conn.go
+++ b/gate/conn/inlet/conn.go
@@ -123,11 +123,22 @@
 		return c.rejectBody(x, err)
 	}
 	x.Body, x.Received = req.Body(), time.Now()
-	c.server.Handler.Serve(x)
+	c.handle(x, func() { c.server.Handler.Serve(x) })
 	x.stopWatch()
 	return c.finishResponse(x)
 }
 
+// handle calls f. A panic ends only this request, with a reset.
+func (c *conn) handle(x *Exchange, f func()) {
+	defer func() {
+		if v := recover(); v != nil {
+			x.Abort()
+			c.server.Handler.Panicked(x, v)
+		}
+	}()
+	f()
+}
+
 func (c *conn) readBody(req *fasthttp.Request, l core.CallerLimits) error {
 	if req.MayContinue() {
 		_, _ = c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
@@ -193,7 +204,7 @@
 // connection once the caller has had time to read the rejection.
 func (c *conn) reject(x *Exchange, status int, reason core.Reason) bool {
 	x.closeAfter = true
-	c.server.Handler.Reject(x, status, reason)
+	c.handle(x, func() { c.server.Handler.Reject(x, status, reason) })
 	if !x.complete {
 		return false
 	}
--- a/gate/conn/inlet/inlet_test.go
+++ b/gate/conn/inlet/inlet_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,6 +30,8 @@
 	_ = x.Respond(status, nil, nil)
 }
 
+func (slowHandler) Panicked(*inlet.Exchange, any) {}
+
 func startServer(t *testing.T, h inlet.Handler) *inlet.Server {
 	t.Helper()
 	s := &inlet.Server{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Handler: h, Limits: func() core.CallerLimits { return core.CallerLimits{} }}
@@ -134,3 +138,71 @@
 	defer cancel()
 	g.Expect(s.Close(ctx)).To(Succeed())
 }
+
+// panicHandler panics while it serves requests for /panic.
+type panicHandler struct {
+	slowHandler
+	panics atomic.Int32
+}
+
+func (h *panicHandler) Serve(x *inlet.Exchange) {
+	if string(x.Header.RequestURI()) == "/panic" {
+		var list []int
+		_ = list[len(x.Body)]
+	}
+	h.slowHandler.Serve(x)
+}
+
+func (h *panicHandler) Panicked(*inlet.Exchange, any) { h.panics.Add(1) }
+
+// TestPanicEndsOneRequest guards against one request that takes the whole process
+// down, with all other requests, and against an empty response that looks complete.
+func TestPanicEndsOneRequest(t *testing.T) {
+	g := NewWithT(t)
+	h := &panicHandler{slowHandler: slowHandler{50 * time.Millisecond}}
+	s := startServer(t, h)
+	other, err := net.Dial("tcp", s.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.WriteString(other, request)
+	g.Expect(err).NotTo(HaveOccurred())
+	c, err := net.Dial("tcp", s.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.WriteString(c, "GET /panic HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = c.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(syscall.ECONNRESET))
+	r, err := http.ReadResponse(bufio.NewReader(other), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.StatusCode).To(Equal(200))
+	g.Expect(h.panics.Load()).To(BeEquivalentTo(1))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	g.Expect(s.Close(ctx)).To(Succeed())
+}
+
+// TestCloseServesEstablishedConnections guards against a planned stop that resets
+// connections which the kernel has accepted and the process has not yet, together
+// with the requests on them.
+func TestCloseServesEstablishedConnections(t *testing.T) {
+	for range 20 {
+		g := NewWithT(t)
+		s := startServer(t, slowHandler{time.Millisecond})
+		conns := make([]net.Conn, 32)
+		for i := range conns {
+			c, err := net.Dial("tcp", s.Addr().String())
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.WriteString(c, request)
+			g.Expect(err).NotTo(HaveOccurred())
+			conns[i] = c
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		g.Expect(s.Close(ctx)).To(Succeed())
+		cancel()
+		for _, c := range conns {
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(r.StatusCode).To(Equal(200))
+			_ = c.Close()
+		}
+	}
+}
--- a/gate/conn/inlet/server.go
+++ b/gate/conn/inlet/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,9 @@
 	// writeTimeout limits the time to send one part of a response to a caller
 	// that does not read. Callers abandon a stream after 2 s.
 	writeTimeout = 5 * time.Second
+	// lastAcceptTime is how long connections that are already established are
+	// accepted at shutdown.
+	lastAcceptTime = 20 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept, for example for lack
 	// of file descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
@@ -38,6 +42,9 @@
 	Serve(x *Exchange)
 	// Reject writes the response to a request that cannot be read.
 	Reject(x *Exchange, status int, reason core.Reason)
+	// Panicked is called after a panic in one of the other methods, with the value
+	// of the panic. The connection of the request is reset.
+	Panicked(x *Exchange, value any)
 }
 
 // Server accepts callers' connections. Its exported fields must be set before
@@ -50,10 +57,12 @@
 	// MaxConnections limits the open connections; zero means no limit.
 	MaxConnections int
 
-	ln        net.Listener
-	conns     sync.Map // of *conn
-	openConns atomic.Int64
-	active    atomic.Int64
+	ln *net.TCPListener
+	// acceptDone is closed once no more connections are accepted.
+	acceptDone chan struct{}
+	conns      sync.Map // of *conn
+	openConns  atomic.Int64
+	active     atomic.Int64
 	// If draining is set, each connection is closed after its response. If
 	// closed is set, idle connections are closed too.
 	draining atomic.Bool
@@ -67,7 +76,8 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	s.ln = ln
+	s.ln = ln.(*net.TCPListener)
+	s.acceptDone = make(chan struct{})
 	s.wg.Go(s.accept)
 	return nil
 }
@@ -88,6 +98,10 @@
 func (s *Server) Close(ctx context.Context) error {
 	s.draining.Store(true)
 	s.closed.Store(true)
+	// Closing the listener resets the connections that wait to be accepted,
+	// together with the requests on them.
+	_ = s.ln.SetDeadline(time.Now().Add(lastAcceptTime))
+	<-s.acceptDone
 	_ = s.ln.Close()
 	s.conns.Range(func(k, _ any) bool {
 		k.(*conn).closeIfIdle()
@@ -125,10 +139,11 @@
 }
 
 func (s *Server) accept() {
+	defer close(s.acceptDone)
 	for {
 		c, err := s.ln.Accept()
 		switch {
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed), s.closed.Load() && errors.Is(err, os.ErrDeadlineExceeded):
 			return
 		case err != nil:
 			meter.Event("accept_errors")
--- a/gate/conn/outlet/conn.go
+++ b/gate/conn/outlet/conn.go
@@ -20,6 +20,10 @@
 // may respond before it has read them.
 const maxInlineBody = 16 << 10
 
+// maxInterimResponses is the number of responses of status 1xx that may precede a
+// response. A faulty upstream may send them without end.
+const maxInterimResponses = 8
+
 // Conn is one connection to an upstream. It carries one request at a time.
 type Conn struct {
 	pool *Pool
@@ -72,9 +76,11 @@
 // Sent reports whether any byte of the last request was sent.
 func (c *Conn) Sent() bool { return c.sentBytes.Load() > 0 }
 
-// ReadHeader reads the header of a response and skips those of status 1xx.
+// ReadHeader reads the header of a response and skips those of status 1xx. It fails
+// with trace.LimitExceeded if there are more than maxInterimResponses of them, and
+// with an error of fasthttp if a header exceeds headerBuffer.
 func (c *Conn) ReadHeader(h *fasthttp.ResponseHeader) error {
-	for {
+	for range maxInterimResponses + 1 {
 		h.Reset()
 		h.SetNoDefaultContentType(true)
 		if err := h.Read(c.br); err != nil {
@@ -84,6 +90,7 @@
 			return nil
 		}
 	}
+	return trace.LimitExceeded("the upstream sent more than %d interim responses", maxInterimResponses)
 }
 
 // Body returns the body of the response with header h to a request with the
--- a/gate/process/ranks/plan_test.go
+++ b/gate/process/ranks/plan_test.go
@@ -147,3 +147,23 @@
 		g.Expect(float64(ranks) / roundInterval(ranks).Seconds()).To(BeNumerically("<=", maxReadsPerSecond+1))
 	}
 }
+
+// malformedRanks reports an expert that does not exist.
+type malformedRanks struct{ countingRanks }
+
+func (*malformedRanks) Placement(context.Context, core.RankAddr) (uint64, [][]int, error) {
+	return 0, [][]int{{0, 7}}, nil
+}
+
+// TestMalformedPlacement guards against a rank whose malformed report ends the
+// process of the leader.
+func TestMalformedPlacement(t *testing.T) {
+	g := NewWithT(t)
+	r := &malformedRanks{countingRanks{ranks: 1}}
+	spec := &GroupSpec{Name: "g", Size: 1, Engine: core.EngineConfig{LayerSets: 1, Experts: 2, SlotsPerRank: 2, ExpertShare: 0.85}, Members: make([]core.RankAddr, 1)}
+	group := &group{ranks: r, direct: r, spec: spec}
+	for i := range 4 {
+		r.step = uint64(1000 * (i + 1))
+		g.Expect(group.runRound(t.Context())).To(MatchError(ContainSubstring("lists expert 7")))
+	}
+}
--- a/gate/process/ranks/round.go
+++ b/gate/process/ranks/round.go
@@ -164,6 +164,9 @@
 			return trace.BadParameter("rank %d has %d sets of experts, want %d", i, len(sets), e.LayerSets)
 		}
 		versions[i] = version
+		if err := checkPlacement(sets, e.Experts); err != nil {
+			return trace.Wrap(err, "rank %d", i)
+		}
 		for s := range sets {
 			placement[s][i] = sets[s]
 		}
@@ -181,6 +184,19 @@
 	return nil
 }
 
+// checkPlacement reports a placement of a rank that lists an expert that does not
+// exist.
+func checkPlacement(sets [][]int, experts int) error {
+	for s, list := range sets {
+		for _, e := range list {
+			if e < 0 || e >= experts {
+				return trace.BadParameter("set %d lists expert %d, there are %d", s, e, experts)
+			}
+		}
+	}
+	return nil
+}
+
 // rebalance switches to a better map if that shortens forward passes enough.
 func (g *group) rebalance(ctx context.Context) error {
 	if g.load == nil || g.loadDuration < minLoadDuration {
--- a/gate/request/event/event.go
+++ b/gate/request/event/event.go
@@ -22,6 +22,9 @@
 	// as comments.
 	ID    uint64
 	HasID bool
+	// HasData is set if the event has a data field, so that it is more than a
+	// comment.
+	HasData bool
 }
 
 // Reader reads complete events. It discards an event that is incomplete at the
@@ -37,7 +40,10 @@
 	return &Reader{r: bufio.NewReaderSize(r, 2048)}
 }
 
-var idField = []byte("id:")
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data")
+)
 
 // Next returns the next event, which is valid until the next call. It returns
 // io.EOF if the stream ends between two events, io.ErrUnexpectedEOF if it ends
@@ -63,6 +69,7 @@
 			e.Raw = r.buf
 			return e, nil
 		}
+		e.HasData = e.HasData || bytes.HasPrefix(line, dataField)
 		if value, ok := bytes.CutPrefix(line, idField); ok {
 			if id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				e.ID, e.HasID = id, true
--- a/gate/request/relay/answer.go
+++ b/gate/request/relay/answer.go
@@ -24,6 +24,9 @@
 	// maxStaleResponses is the maximum number of responses to earlier requests
 	// that are skipped on one connection.
 	maxStaleResponses = 4
+	// maxStaleBody is the number of body bytes of such a response that are read to
+	// reach the next one.
+	maxStaleBody = 256 << 10
 	// copyBufferSize is the size in bytes of the buffer that copies the rest of a
 	// larger body.
 	copyBufferSize = 16 << 10
@@ -40,8 +43,8 @@
 // receive reads the response to the request that was sent on the connection. It
 // forwards the response, or returns a status after which the request may be
 // retried.
-func (t *transaction) receive(ctx context.Context, u *fleet.Upstream, c *outlet.Conn, h *fasthttp.ResponseHeader, w *watchdog) (core.ResponseInfo, attemptResult) {
-	info, err := t.readHeader(c, h)
+func (t *transaction) receive(ctx context.Context, u *fleet.Upstream, c *outlet.Conn, isNew bool, h *fasthttp.ResponseHeader, w *watchdog) (core.ResponseInfo, attemptResult) {
+	info, err := t.readHeader(c, isNew, h)
 	if err != nil {
 		return info, attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err}
 	}
@@ -69,22 +72,32 @@
 	return info.Signed && info.AttemptID == t.info.AttemptID && len(h.ContentEncoding()) == 0
 }
 
-// readHeader reads the header of the response that echoes the request's id or
-// has no id. It skips late responses to earlier requests on the connection.
-func (t *transaction) readHeader(c *outlet.Conn, h *fasthttp.ResponseHeader) (core.ResponseInfo, error) {
+// readHeader reads the header of the response that echoes the request's id. It skips
+// late responses to earlier requests on the connection. A response without an id is
+// accepted only on a new connection, since it may otherwise be a second response to
+// an earlier request.
+func (t *transaction) readHeader(c *outlet.Conn, isNew bool, h *fasthttp.ResponseHeader) (core.ResponseInfo, error) {
 	for range maxStaleResponses {
 		if err := c.ReadHeader(h); err != nil {
 			return core.ResponseInfo{}, err
 		}
 		info := t.relay.Protocol.ResponseInfo(h)
-		if info.AttemptID == t.info.AttemptID || info.AttemptID == "" {
+		if info.AttemptID == t.info.AttemptID || info.AttemptID == "" && isNew {
 			return info, nil
 		}
+		if info.AttemptID == "" {
+			meter.Event("stale_answers")
+			return core.ResponseInfo{}, trace.BadParameter("the response on a reused connection has no id: status %d", h.StatusCode())
+		}
 		meter.Event("stale_answers")
 		// "answers" is the id of the request that the response answers.
 		t.log("stale_answer", "answers", info.AttemptID)
-		if _, err := io.Copy(io.Discard, c.Body(h, t.inbound.Header.Method())); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(c.Body(h, t.inbound.Header.Method()), maxStaleBody))
+		switch {
+		case err != nil:
 			return core.ResponseInfo{}, err
+		case n == maxStaleBody:
+			return core.ResponseInfo{}, trace.LimitExceeded("the body of a response to another request exceeds %d bytes", maxStaleBody)
 		}
 	}
 	return core.ResponseInfo{}, trace.BadParameter("the connection returned only responses to other requests")
--- a/gate/request/relay/attempt.go
+++ b/gate/request/relay/attempt.go
@@ -109,7 +109,7 @@
 	}
 	var h fasthttp.ResponseHeader
 	w := t.startWatchdog(c, u)
-	info, res := t.receive(ctx, u, c, &h, w)
+	info, res := t.receive(ctx, u, c, isNew, &h, w)
 	w.stop()
 	if stop() && res.complete {
 		c.Release(outlet.Reusable(&h), info.KeepAliveTimeout)
--- a/gate/request/relay/relay.go
+++ b/gate/request/relay/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,6 +141,12 @@
 	t.run()
 }
 
+// Panicked implements inlet.Handler.
+func (r *Relay) Panicked(x *inlet.Exchange, value any) {
+	meter.Event("panics")
+	r.DecisionLog.Log("panic", "request", r.Protocol.RequestInfo(x.Header).AttemptID, "error", fmt.Sprint(value), "stack", string(debug.Stack()))
+}
+
 // Reject implements inlet.Handler.
 func (r *Relay) Reject(x *inlet.Exchange, status int, reason core.Reason) {
 	t := &transaction{relay: r, inbound: x, info: r.Protocol.RequestInfo(x.Header), start: time.Now()}
--- a/gate/request/relay/stream.go
+++ b/gate/request/relay/stream.go
@@ -41,11 +41,15 @@
 		if err != nil {
 			return attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err}
 		}
-		w.recordEvent()
 		if e.HasID && t.stream.hasLastID && e.ID <= t.stream.lastID {
 			meter.Event("repeated_events")
 			continue
 		}
+		if e.HasData {
+			// Comments, which a stalled upstream may send to keep the connection
+			// open, are no progress.
+			w.recordEvent()
+		}
 		if err := t.forwardEvent(h, e, events.Buffered()); err != nil {
 			t.abortCallerDisconnected()
 			return attemptResult{outcome: fleet.Inconclusive, err: err}
--- a/gate/serve/apps.go
+++ b/gate/serve/apps.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	recoverer "github.com/gofiber/fiber/v3/middleware/recover"
 
 	"parsleyroute.example/core/conn/server"
 	"parsleyroute.example/core/wire"
@@ -20,6 +21,7 @@
 
 func (g *Gate) readinessApp() *fiber.App {
 	app := fiber.New(fiber.Config{AppName: "parsleyroute gate readiness"})
+	app.Use(recoverer.New())
 	app.Get(platform.ReadinessPath, func(c fiber.Ctx) error {
 		if !g.synced.Load() || g.draining.Load() {
 			return c.SendStatus(fiber.StatusServiceUnavailable)
@@ -31,12 +33,14 @@
 
 func (g *Gate) peersApp() *fiber.App {
 	app := fiber.New(fiber.Config{AppName: "parsleyroute gate peers", IdleTimeout: time.Minute, Immutable: true})
+	app.Use(recoverer.New())
 	server.Twirp(app, wire.RelayPathPrefix, wire.NewRelayServer(view.Server{View: g.view}))
 	return app
 }
 
 func metricsApp() *fiber.App {
 	app := fiber.New(fiber.Config{AppName: "parsleyroute gate metrics"})
+	app.Use(recoverer.New())
 	server.Debug(app)
 	return app
 }
