--- a/core/errors.go
+++ b/core/errors.go
@@ -30,6 +30,7 @@
 	ReasonQueueFull          Reason = "queue_full"
 	ReasonDeadline           Reason = "deadline"
 	ReasonNoUpstream         Reason = "no_upstream"
+	ReasonNoSlot             Reason = "no_slot"
 	ReasonUpstreamBusy       Reason = "upstream_busy"
 	ReasonUpstreamOut        Reason = "upstream_out"
 	ReasonUpstreamLost       Reason = "upstream_lost"
--- a/gate/process/policy/comeback.go
+++ b/gate/process/policy/shortage.go
@@ -30,18 +30,19 @@
 // The zero value is ready to use. It is safe for concurrent use.
 type Shortage struct {
 	mu sync.Mutex
-	// since is the time of the first refusal of the present shortage, and last that
-	// of the latest one.
+	// since is when the first refused request of the present shortage began to wait,
+	// and last the time of the latest refusal.
 	since, last time.Time
 }
 
-// Refuse records a refusal and returns the time after which the caller is to come
-// back, given the time that it has left.
-func (s *Shortage) Refuse(now time.Time, left time.Duration) time.Duration {
+// Refuse records the refusal of a request that has waited for the given time, and
+// returns the time after which its caller is to come back, given the time that the
+// caller has left.
+func (s *Shortage) Refuse(now time.Time, waited, left time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now.Sub(s.last) > calmAfter {
-		s.since = now
+		s.since = now.Add(-waited)
 	}
 	s.last = now
 	expected := max(minReturn, now.Sub(s.since))
--- a/gate/request/relay/refuse.go
+++ b/gate/request/relay/refuse.go
@@ -13,20 +13,9 @@
 	"parsleyroute.example/gate/process/fleet"
 )
 
-const (
-	// notReadyRetryAfter is the Retry-After time while the gate has just started
-	// and has no configuration, and for a route without a pool.
-	notReadyRetryAfter = 300 * time.Millisecond
-	// outageRetryAfter is the Retry-After time while a pool is down. Crashed
-	// upstreams are replaced within a few seconds.
-	outageRetryAfter = 2500 * time.Millisecond
-	// busyRetryAfter is the Retry-After time while all slots of a pool are in
-	// use.
-	busyRetryAfter = 600 * time.Millisecond
-	// retryAfterDivisor divides the time left to the deadline to give the
-	// maximum Retry-After time.
-	retryAfterDivisor = 3
-)
+// notReadyRetryAfter is the Retry-After time while the gate has just started and has
+// no configuration, and for a route without a pool.
+const notReadyRetryAfter = 300 * time.Millisecond
 
 // respondUnavailable writes the final response of a request that got no upstream.
 func (t *transaction) respondUnavailable(ctx context.Context, err error) {
@@ -38,21 +27,21 @@
 		t.forwardResponse(t.errorResponse)
 		return
 	}
-	reason := core.ReasonNoUpstream
-	if refusal, ok := core.AsRefusal(err); ok {
-		reason = refusal.Reason
-	}
-	retryAfter := busyRetryAfter
-	if t.relay.Picker.PoolState(time.Now(), t.pool) == fleet.PoolDown {
-		reason, retryAfter = core.ReasonNoUpstream, outageRetryAfter
+	reason, message := core.ReasonNoSlot, "all slots of the service are in use, and none becomes free in time"
+	refusal, ok := core.AsRefusal(err)
+	switch {
+	case t.relay.Picker.PoolState(time.Now(), t.pool) == fleet.PoolDown:
+		reason, message = core.ReasonNoUpstream, "no upstream of the service is in use"
+	case t.timedOut(ctx):
+		reason, message = core.ReasonDeadline, "the deadline passed before a slot became free"
+	case ok && refusal.Reason == core.ReasonQueueFull:
+		reason, message = core.ReasonQueueFull, "too many requests wait for the service"
 	}
 	if t.mayHaveRun {
 		t.fail(ctx, reason, "no upstream is available for a retry")
 		return
 	}
-	// The same text is sent while the pool is down; only the reason and the
-	// Retry-After time differ.
-	t.refuse(fasthttp.StatusServiceUnavailable, reason, "no upstream has a free slot", retryAfter)
+	t.refuseShortage(reason, message)
 }
 
 // respondTimeout writes the final response of a request whose deadline has
@@ -66,7 +55,7 @@
 	case t.mayHaveRun:
 		t.failWithStatus(fasthttp.StatusGatewayTimeout, core.ReasonDeadline, "the upstream did not respond in time")
 	default:
-		t.refuse(fasthttp.StatusServiceUnavailable, cause, "no upstream ran the request in time", busyRetryAfter)
+		t.refuseShortage(cause, "no upstream ran the request in time")
 	}
 }
 
@@ -88,13 +77,16 @@
 	t.respondError(status, reason, core.ExecutionUnknown, message, 0)
 }
 
+// refuseShortage refuses a request that no upstream could serve, and asks the caller
+// to come back when the shortage may have ended.
+func (t *transaction) refuseShortage(reason core.Reason, message string) {
+	now := time.Now()
+	t.refuse(fasthttp.StatusServiceUnavailable, reason, message, t.poolState.shortage.Refuse(now, t.queueWait, t.deadline.Sub(now)))
+}
+
 // refuse writes an error response that guarantees that the request has not run.
 // A retryAfter of zero omits the Retry-After header.
 func (t *transaction) refuse(status int, reason core.Reason, message string, retryAfter time.Duration) {
-	now := time.Now()
-	if !t.deadline.IsZero() && retryAfter > 0 {
-		retryAfter = t.poolState.shortage.Refuse(now, t.deadline.Sub(now))
-	}
 	t.respondError(status, reason, core.NotExecuted, message, retryAfter)
 }
 
--- a/gate/request/relay/transaction.go
+++ b/gate/request/relay/transaction.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/core/request/admit"
@@ -212,11 +210,7 @@
 		// A response may also have arrived that was not accepted.
 		t.fail(ctx, cause, "the upstream's response was lost")
 	default:
-		retryAfter := busyRetryAfter
-		if status == attemptUnsent || t.relay.Picker.PoolState(now, t.pool) == fleet.PoolDown {
-			retryAfter = outageRetryAfter
-		}
-		t.refuse(fasthttp.StatusServiceUnavailable, cause, "none of the upstreams tried ran the request", retryAfter)
+		t.refuseShortage(cause, "none of the upstreams tried ran the request")
 	}
 	return false
 }
--- a/parsley/cmds/objects.go
+++ b/parsley/cmds/objects.go
@@ -162,7 +162,7 @@
 	return &cobra.Command{
 		Use:               "select KIND SELECTOR",
 		Short:             "List the objects that a rule with this kind and selector applies to",
-		Example:           "  parsley select upstream 'service = note-writer, zone in (prairie-a, prairie-b)'",
+		Example:           "  parsley select upstream 'service = chat, zone in (zone-a, zone-b)'",
 		Args:              cobra.ExactArgs(2),
 		ValidArgsFunction: p.completeNames(""),
 		RunE: func(cmd *cobra.Command, args []string) error {
