Serve requests that can still be in time before those that cannot

Change: admit.Item.Late; a request that has waited past its objective, whose caller has come back, or that comes while the pool is down gets what the others leave.

--- a/core/request/admit/admit_test.go
+++ b/core/request/admit/admit_test.go
@@ -381,3 +381,41 @@
 		g.Expect(out[0].err).NotTo(HaveOccurred(), "a request that does not have to wait is admitted")
 	})
 }
+
+// Guards against a backlog of late requests that is served before requests that can
+// still be in time, of the same team or of another one, and that refuses them since
+// the wait seems long. Late requests get what is left.
+func TestLateRequestsGoLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(100)
+		defer h.close()
+		now := time.Now()
+		late := func(team string) *admit.Item {
+			return &admit.Item{Team: team, Class: "m", Late: true, Deadline: now.Add(1450 * time.Millisecond)}
+		}
+		for range 20 {
+			h.enqueue(late("a"))
+			h.enqueue(late("b"))
+		}
+		// Grants at intervals of 100 ms tell the queue that 40 requests take 4 s.
+		for range 4 {
+			time.Sleep(100 * time.Millisecond)
+			h.grant("m", 1)
+		}
+		h.takeEnded()
+		fresh := &admit.Item{Team: "a", Class: "m", Deadline: time.Now().Add(325 * time.Millisecond)}
+		other := &admit.Item{Team: "c", Class: "m", Deadline: time.Now().Add(325 * time.Millisecond)}
+		h.enqueue(fresh)
+		h.enqueue(other)
+		g.Expect(h.takeEnded()).To(BeEmpty(), "not refused")
+		h.grant("m", 3)
+		ended := h.takeEnded()
+		granted := map[*admit.Item]bool{}
+		for _, o := range ended {
+			g.Expect(o.err).NotTo(HaveOccurred())
+			granted[o.it] = true
+		}
+		g.Expect(granted).To(And(HaveLen(3), HaveKey(fresh), HaveKey(other)))
+	})
+}
--- a/core/request/admit/interval.go
+++ b/core/request/admit/interval.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // grantInterval tracks the average interval between grants while requests wait.
@@ -50,17 +52,26 @@
 	interval := q.interval.expected(now)
 	w := weight(it)
 	var otherWeights float64
-	ahead := 0
+	ahead, waiting := 0, 0
 	for _, f := range q.teams {
-		if len(f.items) == 0 {
+		// Late items do not delay one that is not.
+		rivals := len(f.items)
+		if !it.Late {
+			rivals = lo.CountBy(f.items, func(other *Item) bool { return !other.Late })
+		}
+		if rivals == 0 {
 			continue
 		}
+		waiting += rivals
 		if f.team == it.Team {
 			ahead, _ = slices.BinarySearchFunc(f.items, it, compareItems)
 			continue
 		}
 		otherWeights += f.weight
 	}
-	grants := min(float64(ahead+1)*(otherWeights+w)/w, float64(q.waiting+1))
+	if waiting == 0 {
+		return 0
+	}
+	grants := min(float64(ahead+1)*(otherWeights+w)/w, float64(waiting+1))
 	return time.Duration(grants * float64(interval))
 }
--- a/core/request/admit/item.go
+++ b/core/request/admit/item.go
@@ -14,6 +14,10 @@
 	Weight float64
 	// Priority orders the requests of a team; higher values come first.
 	Priority int
+	// Late is set if the response will be late even if the request is admitted now.
+	// Such requests get capacity that no other request can use: admitted first, they
+	// would make the others late too, for as long as the backlog of an outage lasts.
+	Late bool
 	// Deadline is the time by which the caller must have the response; zero
 	// means none.
 	Deadline time.Time
@@ -37,11 +41,18 @@
 	result  chan error
 }
 
-// compareItems orders the items of one team by priority, deadline and arrival.
+// compareItems orders the items of one team by priority, lateness, deadline and
+// arrival.
 func compareItems(a, b *Item) int {
 	if c := cmp.Compare(b.Priority, a.Priority); c != 0 {
 		return c
 	}
+	if a.Late != b.Late {
+		if a.Late {
+			return 1
+		}
+		return -1
+	}
 	if !a.Deadline.Equal(b.Deadline) {
 		switch {
 		case a.Deadline.IsZero():
--- a/core/request/admit/queue.go
+++ b/core/request/admit/queue.go
@@ -15,7 +15,9 @@
 // Queue holds the requests of one service that wait for capacity. It divides
 // capacity among teams by weight with start-time fair queueing (Goyal, Vin and
 // Cheng, Start-Time Fair Queueing, 1996), where each request costs one. Requests
-// of one team are ordered by priority, then deadline, then arrival.
+// of one team are ordered by priority, then deadline, then arrival. Requests that
+// are late already, such as those that have waited for the end of an outage, get
+// what the others leave.
 //
 // MaxLength bounds the number of waiting requests. When a request arrives at a
 // full queue, the last request of the team with the most waiting requests per
@@ -192,9 +194,18 @@
 }
 
 // next returns the next item to grant, or nil: the first eligible item of the
-// flow with the lowest start tag. Items of the failed classes and items that can
-// no longer meet their deadline are not eligible.
+// flow with the lowest start tag, of the items that are not late if there is one.
+// Items of the failed classes and items that can no longer meet their deadline are
+// not eligible.
 func (q *Queue) next(now time.Time, failed map[string]bool) *Item {
+	if it := q.nextOf(now, failed, false); it != nil {
+		return it
+	}
+	return q.nextOf(now, failed, true)
+}
+
+// nextOf returns the next item among those that are late, or among the others.
+func (q *Queue) nextOf(now time.Time, failed map[string]bool, late bool) *Item {
 	var best *Item
 	var bestFlow *flow
 	for _, f := range q.teams {
@@ -202,7 +213,7 @@
 			continue
 		}
 		for _, it := range f.items {
-			if failed[it.Class] || !it.Deadline.IsZero() && !now.Before(it.latestStart()) {
+			if it.Late != late || failed[it.Class] || !it.Deadline.IsZero() && !now.Before(it.latestStart()) {
 				continue
 			}
 			if bestFlow == nil || f.startTag < bestFlow.startTag || it.arrival < best.arrival {
--- a/gate/process/fleet/groups.go
+++ b/gate/process/fleet/groups.go
@@ -74,19 +74,19 @@
 	return s
 }
 
-// StreamProgress records the events of one stream at a rank.
+// StreamProgress records the events of one stream at a rank. It does nothing at
+// other upstreams. One goroutine uses it.
 type StreamProgress struct {
 	fleet   *Fleet
 	group   *groupState
 	name    string
-	epoch   uint64
 	started bool
 }
 
 // BeginStream returns the progress of a stream that has been sent to the upstream.
 func (f *Fleet) BeginStream(u *Upstream) *StreamProgress {
-	g := u.Entry().Group
-	return &StreamProgress{fleet: f, group: f.group(g.Name), name: g.Name, epoch: g.Epoch}
+	name := u.Entry().Group.Name
+	return &StreamProgress{fleet: f, group: f.group(name), name: name}
 }
 
 // Event records an event of the stream.
@@ -143,14 +143,15 @@
 // the events of this gate and from what the other gates have seen, by the hash of
 // the group's name. Only the control goroutine may call it.
 func (f *Fleet) CheckGroups(now time.Time, remote map[uint64]GroupProgress) {
-	epochs := map[string]core.GroupMembership{}
-	pools := map[string]string{}
+	listed := map[string]*core.ListedUpstream{}
 	for _, u := range f.upstreams {
-		if g := u.Entry().Group; g.Name != "" && g.Epoch >= epochs[g.Name].Epoch {
-			epochs[g.Name], pools[g.Name] = g, u.Entry().Pool
+		entry := u.Entry()
+		name := entry.Group.Name
+		if other := listed[name]; name != "" && (other == nil || entry.Group.Epoch > other.Group.Epoch) {
+			listed[name] = entry
 		}
 	}
-	for name, membership := range epochs {
+	for name, entry := range listed {
 		g := f.group(name)
 		other := remote[xxhash.Sum64String(name)]
 		if last := g.lastEvent.Load(); last != 0 {
@@ -159,16 +160,17 @@
 		if other != (GroupProgress{}) {
 			f.observeGroupEvent(name, g, now, now.Add(-other.Idle), "peer")
 		}
+		waiting := int(g.waiting.Load())
 		f.groups.mu.Lock()
-		if g.standstill.Check(now, membership.Epoch, int(g.waiting.Load())+other.Waiting, f.meanGap(now, pools[name])) {
-			f.DecisionLog.Log("group_down", "group", name, "epoch", membership.Epoch, "source", "no_events", "idle", g.standstill.Idle(now), "waiting", int(g.waiting.Load()), "waiting_elsewhere", other.Waiting)
+		if g.standstill.Check(now, entry.Group.Epoch, waiting+other.Waiting, f.meanGap(now, entry.Pool)) {
+			f.DecisionLog.Log("group_down", "group", name, "epoch", entry.Group.Epoch, "source", "no_events", "idle", g.standstill.Idle(now), "waiting", waiting, "waiting_elsewhere", other.Waiting)
 		}
 		f.groups.mu.Unlock()
 	}
 	f.groups.mu.Lock()
 	defer f.groups.mu.Unlock()
 	for name, g := range f.groups.byName {
-		if _, ok := epochs[name]; !ok && g.waiting.Load() == 0 {
+		if listed[name] == nil && g.waiting.Load() == 0 {
 			delete(f.groups.byName, name)
 		}
 	}
--- a/gate/request/relay/transaction.go
+++ b/gate/request/relay/transaction.go
@@ -112,7 +112,7 @@
 	// The queue serves higher priorities first, but 0 is the most urgent priority
 	// of a route or team.
 	item := &admit.Item{
-		Class: t.pool.Name, Priority: -t.priority(), Deadline: waitUntil,
+		Class: t.pool.Name, Priority: -t.priority(), Deadline: waitUntil, Late: t.late(now),
 		TryAcquire: func() bool {
 			u = t.relay.Picker.Pick(time.Now(), t.pool, t.tried)
 			return u != nil
@@ -160,6 +160,20 @@
 	return t.deadline
 }
 
+// returnedFraction is the fraction of the route's timeout below which the time that
+// the caller has left shows that this is not its first try.
+const returnedFraction = 0.9
+
+// late reports whether the response will be late even if the request is sent now: it
+// has waited before, its caller has come back after a refusal, or the pool is down.
+func (t *transaction) late(now time.Time) bool {
+	if objective := t.route.LatencyObjective; objective == 0 || now.Sub(t.start) > objective {
+		return true
+	}
+	return t.info.Timeout > 0 && t.info.Timeout < time.Duration(returnedFraction*float64(t.route.Timeout)) ||
+		t.relay.Picker.PoolState(now, t.pool) == fleet.PoolDown
+}
+
 // timedOut reports whether the deadline has passed. It does not rely on ctx
 // alone, because a read that exceeds its deadline may return before ctx ends.
 func (t *transaction) timedOut(ctx context.Context) bool {
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -161,11 +161,11 @@
 	if s.Suspect == nil {
 		return
 	}
-	any := s.Members[rand.IntN(len(s.Members))]
-	answers := g.readReports(ctx, []*fleet.Upstream{s.Suspect, any})
+	member := s.Members[rand.IntN(len(s.Members))]
+	answers := g.readReports(ctx, []*fleet.Upstream{s.Suspect, member})
 	for _, r := range answers {
 		if r != nil && r.Open && r.Group == name && r.Epoch > s.Epoch {
-			g.beginTrial(name, r.Epoch, any.ID)
+			g.beginTrial(name, r.Epoch, member.ID)
 			return
 		}
 	}
