--- a/bench/outage/table.go
+++ b/bench/outage/table.go
@@ -37,12 +37,12 @@
 // Markdown.
 func Table(w io.Writer, base Scenario, runs int) error {
 	var err error
-	print := func(format string, args ...any) {
+	printf := func(format string, args ...any) {
 		if err == nil {
 			_, err = fmt.Fprintf(w, format, args...)
 		}
 	}
-	print("| outage | Retry-After | in time | late | refused | of these again | mean delay of the late, ms |\n|---|---|---:|---:|---:|---:|---:|\n")
+	printf("| outage | Retry-After | in time | late | refused | of these again | mean delay of the late, ms |\n|---|---|---:|---:|---:|---:|---:|\n")
 	for _, length := range outages {
 		for _, rule := range rules {
 			var sum Result
@@ -53,7 +53,7 @@
 				sum.InTime, sum.Late, sum.Refused, sum.Again = sum.InTime+r.InTime, sum.Late+r.Late, sum.Refused+r.Refused, sum.Again+r.Again
 				sum.MeanDelay += r.MeanDelay / time.Duration(runs)
 			}
-			print("| %s | %s | %d | %d | %d | %d | %d |\n", length, rule.name, sum.InTime/runs, sum.Late/runs, sum.Refused/runs, sum.Again/runs, sum.MeanDelay.Milliseconds())
+			printf("| %s | %s | %d | %d | %d | %d | %d |\n", length, rule.name, sum.InTime/runs, sum.Late/runs, sum.Refused/runs, sum.Again/runs, sum.MeanDelay.Milliseconds())
 		}
 	}
 	return trace.Wrap(err)
--- a/gate/process/policy/standstill.go
+++ b/gate/process/policy/standstill.go
@@ -27,13 +27,14 @@
 // GroupState tells whether a group of ranks gets requests.
 type GroupState int
 
+// States of a group.
 const (
-	// GroupRuns: the group runs forward passes, as far as is known.
+	// GroupRuns is the state of a group that runs forward passes, as far as is known.
 	GroupRuns GroupState = iota
-	// GroupStands: the group runs no passes and gets no requests.
+	// GroupStands is the state of a group that runs no passes and gets no requests.
 	GroupStands
-	// GroupOnTrial: the group may run again. It gets a few requests, until one of
-	// them has had an event.
+	// GroupOnTrial is the state of a group that may run again. It gets a few requests,
+	// until one of them has had an event.
 	GroupOnTrial
 )
 
