--- a/gate/request/relay/endless_test.go
+++ b/gate/request/relay/endless_test.go
@@ -148,9 +148,12 @@
 			"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\nold",
 			"HTTP/1.1 200 OK\r\n" + worker.HeaderSignature + ": sig\r\nContent-Length: 3\r\n\r\nold",
 		} {
-			var sends atomic.Int32
+			// A connection is reused only once the gate has returned it to its pool,
+			// which may be after the caller has its response.
+			var reused *worker.Conn
 			s := startSystem(func(c *worker.Conn, a *worker.ReceivedRequest) {
-				if sends.Add(1) == 1 {
+				if c != reused {
+					reused = c
 					c.WriteResponse(a, 200, "one")
 					return
 				}
@@ -162,13 +165,16 @@
 			_, body, err := s.call("/unsafe/", "")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(body).To(Equal("one"))
-			c := s.dial()
-			_, err = io.WriteString(c, strings.Replace(requestHeader("/unsafe/", ""), ": a1", ": a2", 1)+"Content-Length: 4\r\n\r\nbody")
-			Expect(err).NotTo(HaveOccurred())
-			res, body, err := readResponse(c)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(body).NotTo(ContainSubstring("old"))
-			Expect(res.StatusCode).To(BeElementOf(http.StatusOK, http.StatusBadGateway))
+			Eventually(func() string {
+				c := s.dial()
+				_, err = io.WriteString(c, strings.Replace(requestHeader("/unsafe/", ""), ": a1", ": a2", 1)+"Content-Length: 4\r\n\r\nbody")
+				Expect(err).NotTo(HaveOccurred())
+				res, body, err := readResponse(c)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(body).NotTo(ContainSubstring("old"))
+				Expect(res.StatusCode).To(BeElementOf(http.StatusOK, http.StatusBadGateway))
+				return body
+			}, "2s").ShouldNot(Equal("one"), "the response of a reused connection")
 		}
 	})
 })
