--- a/gate/process/view/follow.go
+++ b/gate/process/view/follow.go
@@ -49,6 +49,7 @@
 	backoff := minBackoff
 	failing := false
 	var lastWatch time.Time
+	lastResponse := time.Now()
 	for ctx.Err() == nil {
 		if listed && v.ShouldWatch != nil && !v.ShouldWatch() {
 			watching.Store(false)
@@ -81,7 +82,7 @@
 			continue
 		case err != nil:
 			if !failing {
-				v.DecisionLog.Log("store_lost", "kind", kind, "after", time.Since(start), "error", err)
+				v.DecisionLog.Log("store_lost", "kind", kind, "after", time.Since(start), "unheard", time.Since(lastResponse), "error", err)
 			}
 			failing = true
 			watching.Store(false)
@@ -92,8 +93,9 @@
 			continue
 		}
 		if failing {
-			v.DecisionLog.Log("store_regained", "kind", kind, "revision", revision)
+			v.DecisionLog.Log("store_regained", "kind", kind, "revision", revision, "unheard", time.Since(lastResponse))
 		}
+		lastResponse = time.Now()
 		listed, failing, backoff = true, false, minBackoff
 		watching.Store(true)
 		if complete || len(objects) > 0 {
--- a/gate/process/view/pull.go
+++ b/gate/process/view/pull.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/meter"
@@ -70,16 +71,17 @@
 		pctx, cancel := context.WithTimeout(ctx, pullTimeout)
 		defer cancel()
 		r, err := v.Pull(pctx, addr, request)
-		v.enqueue(ctx, func() { v.handlePullResponse(addr, r, err) })
+		took := time.Since(now)
+		v.enqueue(ctx, func() { v.handlePullResponse(addr, r, err, took) })
 	}()
 }
 
-func (v *View) handlePullResponse(addr netip.AddrPort, r *wire.PullResponse, err error) {
+func (v *View) handlePullResponse(addr netip.AddrPort, r *wire.PullResponse, err error, took time.Duration) {
 	v.pulling = false
 	v.behindSince = time.Time{}
 	if err != nil {
 		meter.Event("pull_errors")
-		v.DecisionLog.Log("pull_failed", "peer", addr, "error", err)
+		v.DecisionLog.Log("pull_failed", "peer", addr, "took", took, "error", err)
 		return
 	}
 	for _, s := range r.GetStates() {
@@ -88,7 +90,8 @@
 			continue
 		}
 		meter.Event("pulled")
-		v.DecisionLog.Log("state_pulled", "kind", s.GetKind(), "peer", addr, "from", k.revision, "to", s.GetRevision(), "objects", len(s.GetObjects()), "complete", s.GetComplete())
+		v.DecisionLog.Log("state_pulled", "kind", s.GetKind(), "peer", addr, "from", k.revision, "to", s.GetRevision(), "objects", len(s.GetObjects()), "complete", s.GetComplete(),
+			"bytes", proto.Size(s), "took", took)
 		revision := s.GetRevision()
 		v.apply(k.kind, objectsFromWire(s), revision, s.GetComplete(), addr.String())
 		k.revision = max(k.revision, revision)
--- a/gate/process/view/view.go
+++ b/gate/process/view/view.go
@@ -157,6 +157,7 @@
 	if !ok {
 		return
 	}
+	start := time.Now()
 	c, err := v.Decoder.Config(o.Value)
 	if err != nil {
 		meter.Event("config_rejected")
@@ -168,7 +169,7 @@
 	}
 	v.current.Config = c
 	v.DecisionLog.Log("config_in_force", "version", c.Version, "revision", o.Version, "source", source,
-		"routes", len(c.Routes), "pools", len(c.Pools), "teams", len(c.Teams))
+		"routes", len(c.Routes), "pools", len(c.Pools), "teams", len(c.Teams), "decoded_in", time.Since(start))
 }
 
 func (v *View) publish() {
