--- a/fakes/process/proxy/link.go
+++ b/fakes/process/proxy/link.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -100,6 +101,8 @@
 	peer chan *forwardedConn
 	done chan struct{}
 	once sync.Once
+	// silent is set once the connection carries nothing any more.
+	silent atomic.Bool
 }
 
 func (fc *forwardedConn) close() {
@@ -298,6 +301,10 @@
 		if !l.awaitRelease(fc, c.due, direction) {
 			return
 		}
+		if fc.silent.Load() {
+			<-fc.done
+			return
+		}
 		if dst == nil {
 			if dst = l.responseClient(fc); dst == nil {
 				return
