Log the parts of the prompt and the time from the header to the loss of a response

Cause: a gate's log did not tell requests that crash an upstream from those that were lost with it, nor repeats of one request from others with the same part. The line attempt_failed now has the shared parts of the prompt and how long the upstream had been responding.

--- a/core/protocol.go
+++ b/core/protocol.go
@@ -21,6 +21,9 @@
 	// resumed the stream. It is valid if HasLastEventID is set.
 	LastEventID    uint64
 	HasLastEventID bool
+	// PromptParts are the ids of the parts of the prompt that other requests may
+	// share, in order. The last part of a prompt is its own and not among them.
+	PromptParts []string
 }
 
 // Dispatch holds the fields that the entry sets in a request to an upstream.
--- a/gate/request/relay/answer.go
+++ b/gate/request/relay/answer.go
@@ -50,7 +50,10 @@
 	}
 	body := c.Body(h, t.inbound.Header.Method())
 	if t.route.Kind == core.RouteStream && h.StatusCode() == fasthttp.StatusOK && t.authentic(h, info) {
-		return info, t.forwardEvents(ctx, h, body, w)
+		start := time.Now()
+		res := t.forwardEvents(ctx, h, body, w)
+		res.responding = time.Since(start)
+		return info, res
 	}
 	w.recordResponse()
 	data, more, err := readBody(body)
--- a/gate/request/relay/attempt.go
+++ b/gate/request/relay/attempt.go
@@ -51,6 +51,10 @@
 	// complete is set if the response was read to its end, so that the
 	// connection may be reused.
 	complete bool
+	// responding is the time from the response header to the end of the attempt,
+	// zero if there was no header, and events the number of forwarded events.
+	responding time.Duration
+	events     int
 }
 
 // attempt sends the request to the upstream and forwards the response. Pick has
@@ -69,7 +73,7 @@
 	}
 	if res.status != attemptDone {
 		// The key "verdict" holds the reason of the failure.
-		fields := []any{"upstream", u.ID, "verdict", string(res.status.reason()), "took", time.Since(start), "load", u.Load(), "last_event", t.stream.lastID}
+		fields := []any{"upstream", u.ID, "verdict", string(res.status.reason()), "took", time.Since(start), "load", u.Load(), "last_event", t.stream.lastID, "responding", res.responding, "parts", t.info.PromptParts}
 		if res.err != nil {
 			fields = append(fields, "error", res.err)
 		}
--- a/gate/request/relay/stream.go
+++ b/gate/request/relay/stream.go
@@ -33,13 +33,13 @@
 // retried on another upstream until then.
 func (t *transaction) forwardEvents(ctx context.Context, h *fasthttp.ResponseHeader, body io.Reader, w *watchdog) attemptResult {
 	events := event.NewReader(body)
-	for {
+	for n := 0; ; {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return t.endStream(h)
 		}
 		if err != nil {
-			return attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err}
+			return attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err, events: n}
 		}
 		if e.HasID && t.stream.hasLastID && e.ID <= t.stream.lastID {
 			meter.Event("repeated_events")
@@ -54,6 +54,7 @@
 			t.abortCallerDisconnected()
 			return attemptResult{outcome: fleet.Inconclusive, err: err}
 		}
+		n++
 	}
 }
 
