Do not write an error response into a stream that has begun

It happens here: a response that is neither a refusal nor a server error, such as 400, 404 or 204, was forwarded as the final response of the request, also if the stream had begun, and a 200 that is no event stream was split into events. Cause: the decision what to do with a response did not ask whether it can follow what the caller has received.

Change: after the first event, only a signed 200 of the same content type continues the stream; everything else counts as a failed attempt, and the stream is interrupted.

--- a/gate/request/relay/answer.go
+++ b/gate/request/relay/answer.go
@@ -48,6 +48,9 @@
 	if err != nil {
 		return info, attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err}
 	}
+	if t.inbound.HeaderWritten() && !info.NotExecuted && !t.continuesStream(h, info) {
+		return info, attemptResult{status: attemptFailed, outcome: fleet.Failed, err: trace.BadParameter("the response does not continue the stream: status %d", h.StatusCode())}
+	}
 	body := c.Body(h, t.inbound.Header.Method())
 	if t.route.Kind == core.RouteStream && h.StatusCode() == fasthttp.StatusOK && t.authentic(h, info) {
 		start := time.Now()
@@ -75,6 +78,12 @@
 	return info.Signed && info.AttemptID == t.info.AttemptID && len(h.ContentEncoding()) == 0
 }
 
+// continuesStream reports whether the response can follow the events that the caller
+// has received from another upstream.
+func (t *transaction) continuesStream(h *fasthttp.ResponseHeader, info core.ResponseInfo) bool {
+	return h.StatusCode() == fasthttp.StatusOK && t.authentic(h, info) && string(h.ContentType()) == t.stream.contentType
+}
+
 // readHeader reads the header of the response that echoes the request's id. It skips
 // late responses to earlier requests on the connection. A response without an id is
 // accepted only on a new connection, since it may otherwise be a second response to
--- a/gate/request/relay/stream.go
+++ b/gate/request/relay/stream.go
@@ -19,6 +19,8 @@
 	// hasLastID is set.
 	lastID    uint64
 	hasLastID bool
+	// contentType is the type of the response that the caller receives.
+	contentType string
 	// events counts the forwarded events.
 	events int
 	// timeToFirst is the time to the first event, maxEventGap the longest time
@@ -78,6 +80,7 @@
 		if err := t.inbound.WriteHeader(h.StatusCode(), t.responseHeader(h)); err != nil {
 			return err
 		}
+		t.stream.contentType = string(h.ContentType())
 		t.stream.timeToFirst = now.Sub(t.start)
 		meter.ObserveLatency("first_event", t.stream.timeToFirst)
 	} else {
