Test responses whose header ends early and refusals that are written twice

Reported by operators of similar systems: an upstream stops within the header of its response and callers get a 200 with an empty or short body. It does not happen here: a header that is cut after any of its bytes ends with 502. A refusal that an upstream writes once more on a kept connection is not taken for one of the next request either: it has the id of the former, or it waits to be read when the connection is chosen. Both specs passed on the unchanged code.

--- a/gate/request/relay/reports_test.go
+++ b/gate/request/relay/reports_test.go
@@ -1,7 +1,10 @@
 package relay_test
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -14,6 +17,38 @@
 
 // These specs play faults of upstreams that operators of similar systems have reported.
 
+var _ = Describe("A refusal that is written twice", func() {
+	// Guards against a refusal of an earlier request that is taken for one of the next.
+	It("does not refuse the next request on the connection", func() {
+		for _, delay := range []time.Duration{0, 20 * time.Millisecond, 60 * time.Millisecond} {
+			first := true
+			s := startSystem(func(c *worker.Conn, a *worker.ReceivedRequest) {
+				if first {
+					first = false
+					c.WriteNotExecuted(a, 503, "")
+					time.Sleep(delay)
+					c.WriteNotExecuted(a, 503, "")
+					return
+				}
+				respondOK(c, a)
+			})
+			c := s.dial()
+			r := bufio.NewReader(c)
+			var statuses []int
+			for i := range 2 {
+				_, err := fmt.Fprintf(c, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n%s: n%d\r\nContent-Length: 0\r\n\r\n", worker.HeaderAttemptID, i)
+				Expect(err).NotTo(HaveOccurred())
+				resp, err := http.ReadResponse(r, nil)
+				Expect(err).NotTo(HaveOccurred())
+				_, _ = io.Copy(io.Discard, resp.Body)
+				statuses = append(statuses, resp.StatusCode)
+				time.Sleep(40 * time.Millisecond)
+			}
+			Expect(statuses).To(Equal([]int{503, 200}), "second refusal after %s", delay)
+		}
+	})
+})
+
 var _ = Describe("A stream that is resumed at an upstream which fails", func() {
 	// Guards against an error response, or its header, within a stream, and against a
 	// stream that looks complete.
@@ -62,3 +97,28 @@
 	return func(c *worker.Conn, a *worker.ReceivedRequest) { c.WriteResponse(a, status, "failed\n\n") }
 }
 
+var _ = Describe("A response whose header ends early", func() {
+	// Guards against a response that is forwarded as complete although its upstream
+	// stopped within the header.
+	It("is not forwarded", func() {
+		header := func(id string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n", worker.HeaderAttemptID, id, worker.HeaderSignature)
+		}
+		var cut atomic.Int32
+		s := startSystem(func(c *worker.Conn, a *worker.ReceivedRequest) {
+			c.Printf("%s", header(a.AttemptID)[:cut.Load()])
+			c.Disconnect()
+		}, func(c *worker.Conn, a *worker.ReceivedRequest) {
+			c.Printf("%s", header(a.AttemptID)[:cut.Load()])
+			c.Disconnect()
+		})
+		for n := range len(header("a1")) {
+			cut.Store(int32(n))
+			s.fleet.Update(time.Now(), nil, nil, s.config)
+			s.updateFleet()
+			r, _, err := s.call("/unsafe/", "")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.StatusCode).To(Equal(502), "header cut after %d bytes: %q", n, header("a1")[:n])
+		}
+	})
+})
