Do not send a request again on the connection on which it was refused

Reported by operators of similar systems: a faulty upstream writes an earlier refusal once more on a kept connection, and callers are told 'not run' for a request that runs (REFUSED) or runs at a second upstream (TWICE).

It happens here if a rank refuses a request because of another rank: the request may be sent to the same rank again, on the same connection, and the second copy of the refusal has the id of the request. Cause: responses are matched by the request's id, which does not tell two sends of one request apart. Change: such a connection is closed after the refusal. An upstream that refuses for its own sake does not get the request again.

--- a/gate/request/relay/answer.go
+++ b/gate/request/relay/answer.go
@@ -67,7 +67,9 @@
 		return info, t.forwardLarge(h, info, data, body)
 	}
 	res := t.handleResponse(u, h, info, data)
-	res.complete = true
+	// A request that was refused because of another upstream may be sent to this one
+	// again. It must not find a second copy of the refusal on the connection.
+	res.complete = !info.NotExecuted || info.FailedUpstream == ""
 	return info, res
 }
 
--- a/gate/request/relay/reports_test.go
+++ b/gate/request/relay/reports_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"parsleyroute.example/fakes/process/worker"
+	"parsleyroute.example/gate/request/relay"
 )
 
 // These specs play faults of upstreams that operators of similar systems have reported.
@@ -47,6 +48,47 @@
 			Expect(statuses).To(Equal([]int{503, 200}), "second refusal after %s", delay)
 		}
 	})
+
+	// Guards against a refusal of the first send of a request that is taken for one of
+	// the second, which runs.
+	It("does not refuse a request that is sent once more on the connection", func() {
+		var runs, sends atomic.Int32
+		var first *worker.Conn
+		s := startSystem(func(c *worker.Conn, a *worker.ReceivedRequest) {
+			if sends.Add(1) == 1 {
+				first = c
+				c.WriteNotExecuted(a, 503, "10.9.9.9:1")
+				return
+			}
+			if c == first {
+				c.WriteNotExecuted(a, 503, "10.9.9.9:1")
+			}
+			runs.Add(1)
+			time.Sleep(50 * time.Millisecond)
+			sendEvents(1, 2)(c, a)
+		})
+		s.config.Routes[3].Resumable = false
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			for epoch := uint64(2); ; epoch++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(30 * time.Millisecond):
+					if sends.Load() == 1 {
+						s.fleet.BeginTrial(time.Now(), groupName, epoch, "test")
+						s.server.Handler.(*relay.Relay).Tick()
+					}
+				}
+			}
+		}()
+		r, _, err := s.call("/stream/", "")
+		Expect(sends.Load()).To(BeEquivalentTo(2))
+		if err == nil && r.StatusCode == 503 {
+			Expect(runs.Load()).To(BeZero(), "a request that was refused as not executed has run")
+		}
+	})
 })
 
 var _ = Describe("A stream that is resumed at an upstream which fails", func() {
