--- /dev/null
+++ b/gate/process/view/pack_test.go
@@ -0,0 +1,104 @@
+package view
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/wire"
+	"parsleyroute.example/fakes/process/meta"
+	"parsleyroute.example/platform"
+)
+
+const (
+	// The largest deployment has 30 gates that do not watch the store, gates with
+	// links of 40 Mbit/s, and changes that leave 1,650 routes, which must be in force
+	// 2 s after their confirmation on the strictest one.
+	pullingGates = 30
+	linkRate     = 40e6
+	largeRoutes  = 1650
+	applyTimeout = 2 * time.Second
+)
+
+// largeConfig returns a configuration with largeRoutes routes with random names.
+func largeConfig(version int) []byte {
+	rng := rand.New(rand.NewPCG(1, 2))
+	routes := make([]map[string]any, largeRoutes)
+	for i := range routes {
+		routes[i] = map[string]any{
+			"name": fmt.Sprintf("r-%x", rng.Uint32()), "hostname": fmt.Sprintf("%x.example", rng.Uint32()),
+			"path_prefix": fmt.Sprintf("/%x/", rng.Uint32()), "type": "safe", "backend": "dele69a", "timeout_ms": 8000, "slo_ms": 500,
+			"priority": 1, "max_attempts": 2, "anonymous": false, "stream_resume": false, "gap_aim_ms": 150, "session_affinity": false,
+		}
+	}
+	data, err := json.Marshal(map[string]any{"version": version, "routes": routes})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// Guards against pulls of a large configuration that all time out because many gates
+// pull it from a peer with a slow link at the same time.
+func TestLargeConfigOverSlowLink(t *testing.T) {
+	g := NewWithT(t)
+	srv := &meta.Server{}
+	g.Expect(srv.Start()).To(Succeed())
+	defer srv.Close()
+	srv.Put("config", "main", config(7))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	peer := &View{Decoder: platform.Decoder{}, OnChange: func(State) {}}
+	peer.init()
+	go func() {
+		for {
+			select {
+			case f := <-peer.tasks:
+				f()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	object := core.Object{Key: core.Key{Kind: core.KindConfig, Name: core.ActiveConfigName}, Version: 900, Value: largeConfig(30)}
+	peer.enqueue(ctx, func() { peer.apply(core.KindConfig, []core.Object{object}, 900, true, "test") })
+	var version atomic.Uint64
+	w := &View{
+		Store: platform.NewStore(srv.Addr()), Decoder: platform.Decoder{}, ShouldWatch: func() bool { return false },
+		OnChange: func(s State) {
+			if s.Config != nil {
+				version.Store(s.Config.Version)
+			}
+		},
+		Pull: func(ctx context.Context, _ netip.AddrPort, r *wire.PullRequest) (*wire.PullResponse, error) {
+			resp, err := Server{View: peer}.Pull(ctx, r)
+			if err != nil {
+				return nil, err
+			}
+			seconds := float64(proto.Size(resp)) * 8 * pullingGates / linkRate
+			select {
+			case <-time.After(time.Duration(seconds * float64(time.Second))):
+				return resp, nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		},
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	g.Eventually(version.Load, "2s").Should(BeEquivalentTo(7))
+	g.Eventually(func() uint64 {
+		w.ObservePeer(ctx, netip.MustParseAddrPort("10.0.0.9:1"), peer.KnownRevisions())
+		return version.Load()
+	}, applyTimeout, "50ms").Should(BeEquivalentTo(30))
+}
