Compress large states that gates pull from each other

Seen: 31 to 33 of 36 gates pull a change from the first peer that announces it.

Cause: the time of a pull is bounded, its volume at the serving peer is not. Class: all followers fetch from one source at the same moment. Change: states of 16 KB and more are sent as DEFLATE, compressed once for all peers, to peers that say that they can read it; unpacking is bounded to 8 MB.

--- a/gate/process/view/kind.go
+++ b/gate/process/view/kind.go
@@ -22,6 +22,10 @@
 	// versions up to compactedTo may be missing.
 	deletions   map[string]uint64
 	compactedTo uint64
+	// packed holds the compressed changes since earlier revisions for peers, as of
+	// packedAt. Peers pull the same changes at the same time.
+	packed   map[uint64]*wire.KindState
+	packedAt uint64
 }
 
 // maxDeletions is the maximum number of deletions that are kept for peers.
@@ -103,6 +107,27 @@
 	return s
 }
 
+// maxPacked is the maximum number of compressed states that are kept.
+const maxPacked = 4
+
+// packedDelta returns the same as delta, compressed if it is large.
+func (k *kindState) packedDelta(since uint64) *wire.KindState {
+	if k.packedAt != k.revision || len(k.packed) >= maxPacked {
+		k.packed, k.packedAt = nil, k.revision
+	}
+	if s := k.packed[since]; s != nil {
+		return s
+	}
+	s := pack(k.delta(since))
+	if len(s.GetPacked()) > 0 {
+		if k.packed == nil {
+			k.packed = map[uint64]*wire.KindState{}
+		}
+		k.packed[since] = s
+	}
+	return s
+}
+
 // objectsFromWire converts the objects of a message.
 func objectsFromWire(s *wire.KindState) []core.Object {
 	list := make([]core.Object, 0, len(s.GetObjects()))
--- a/gate/process/view/pack_test.go
+++ b/gate/process/view/pack_test.go
@@ -1,6 +1,8 @@
 package view
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
@@ -102,3 +105,19 @@
 		return version.Load()
 	}, applyTimeout, "50ms").Should(BeEquivalentTo(30))
 }
+
+// Guards against a peer that exhausts the memory with a state that expands without end,
+// and against one that sends bytes that are no state.
+func TestUnpackBounds(t *testing.T) {
+	g := NewWithT(t)
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = w.Write(make([]byte, maxUnpackedSize+1))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Close()).To(Succeed())
+	_, err = unpack(&wire.KindState{Packed: b.Bytes()})
+	g.Expect(trace.IsLimitExceeded(err)).To(BeTrue())
+	_, err = unpack(&wire.KindState{Packed: []byte("no state")})
+	g.Expect(trace.IsBadParameter(err)).To(BeTrue())
+}
--- a/gate/process/view/pull.go
+++ b/gate/process/view/pull.go
@@ -66,7 +66,7 @@
 		return
 	}
 	v.pulling, v.lastPull = true, now
-	request := &wire.PullRequest{Known: v.KnownRevisions()}
+	request := &wire.PullRequest{Known: v.KnownRevisions(), Packed: true}
 	go func() {
 		pctx, cancel := context.WithTimeout(ctx, pullTimeout)
 		defer cancel()
@@ -89,9 +89,16 @@
 		if k == nil || s.GetRevision() <= k.revision {
 			continue
 		}
+		bytes := proto.Size(s)
+		s, err := unpack(s)
+		if err != nil {
+			meter.Event("pull_errors")
+			v.DecisionLog.Log("pull_failed", "peer", addr, "took", took, "error", err)
+			continue
+		}
 		meter.Event("pulled")
 		v.DecisionLog.Log("state_pulled", "kind", s.GetKind(), "peer", addr, "from", k.revision, "to", s.GetRevision(), "objects", len(s.GetObjects()), "complete", s.GetComplete(),
-			"bytes", proto.Size(s), "took", took)
+			"bytes", bytes, "took", took)
 		revision := s.GetRevision()
 		v.apply(k.kind, objectsFromWire(s), revision, s.GetComplete(), addr.String())
 		k.revision = max(k.revision, revision)
@@ -114,7 +121,11 @@
 		resp := &wire.PullResponse{}
 		for _, kind := range kinds {
 			if k := s.View.kindStates[kind]; k.synced && k.revision > known[string(kind)] {
-				resp.States = append(resp.States, k.delta(known[string(kind)]))
+				delta := k.delta
+				if r.GetPacked() {
+					delta = k.packedDelta
+				}
+				resp.States = append(resp.States, delta(known[string(kind)]))
 			}
 		}
 		responses <- resp
