Give up an order to a rank at the end of the time for it

Cause: a gate that finishes the switch of another leader has 2 s for it. When they were over and a rank had not responded, each order and each report failed at once, and the pause between two orders ended at once too, so that the order was repeated without end: 207,821 failed orders in 3 s. That took the gate's processor time. Class: a retry loop that ends only on success, in a context that has ended. Other loops of the package were checked: they end with their context. The roll-back had no pause between two tries; it has one now.

--- a/gate/process/ranks/recover.go
+++ b/gate/process/ranks/recover.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/process/clock"
 )
 
 // recoverTimeout bounds one attempt to finish a switch that a former leader
@@ -159,7 +160,9 @@
 			if err != nil {
 				return err
 			}
-			refused[rank] = !accepted
+			if refused[rank] = !accepted; refused[rank] {
+				_ = clock.Real{}.Sleep(ctx, orderRetryDelay)
+			}
 		}
 		return nil
 	})
--- a/gate/process/ranks/switch.go
+++ b/gate/process/ranks/switch.go
@@ -199,11 +199,11 @@
 }
 
 // orderUntilResponse repeats an order until the rank responds, and returns an
-// error if the rank refuses it. It gives up only if the group has re-formed.
+// error if the rank refuses it. It gives up if the group has re-formed or ctx ends.
 func (g *group) orderUntilResponse(ctx context.Context, rank int, o core.RankOrder) error {
 	for {
 		err := g.sendOrder(ctx, rank, o)
-		if err == nil || !trace.IsConnectionProblem(err) {
+		if err == nil || !trace.IsConnectionProblem(err) || ctx.Err() != nil {
 			return err
 		}
 		if g.hasReformed(ctx, rank) {
