Use one word for requests that crash upstreams, and test streams without a length

The new specs passed on the unchanged code: a stream that ends with its connection is complete between two events and is resumed within one.

--- a/gate/process/gossip/crashes_test.go
+++ b/gate/process/gossip/crashes_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against gates that each need a crash of their own to contain a part, and
-// against parts that stay contained although another gate knows that they are sound.
+// against parts that stay contained although another gate knows that upstreams respond to them.
 func TestCrashesReachOtherGates(t *testing.T) {
 	g := NewWithT(t)
 	a, b := newGossip(t, "a"), newGossip(t, "bb")
@@ -19,17 +19,17 @@
 	a.Containment, b.Containment = &policy.Containment{}, &policy.Containment{}
 	startGossip(t, a)
 	startGossip(t, b)
-	const deadly, sound = 7, 8
-	a.Containment.Observe(policy.Crash{ID: 1, Upstream: 1, Parts: []uint64{deadly}, At: time.Now()})
+	const crashing, harmless = 7, 8
+	a.Containment.Observe(policy.Crash{ID: 1, Upstream: 1, Parts: []uint64{crashing}, At: time.Now()})
 	a.Announce()
 	contained := func(part uint64) func() bool {
 		return func() bool { return b.Containment.Check(time.Now(), []uint64{part}, b.Position()).Contained }
 	}
-	g.Eventually(contained(deadly), "3s").Should(BeTrue())
-	b.Containment.Success(time.Now(), sound)
-	a.Containment.Observe(policy.Crash{ID: 2, Upstream: 2, Parts: []uint64{sound}, At: time.Now()})
-	g.Eventually(func() bool { return a.Containment.Check(time.Now(), []uint64{sound}, a.Position()).Contained }, "3s").Should(BeFalse())
-	g.Consistently(contained(deadly), "300ms").Should(BeTrue())
+	g.Eventually(contained(crashing), "3s").Should(BeTrue())
+	b.Containment.Success(time.Now(), harmless)
+	a.Containment.Observe(policy.Crash{ID: 2, Upstream: 2, Parts: []uint64{harmless}, At: time.Now()})
+	g.Eventually(func() bool { return a.Containment.Check(time.Now(), []uint64{harmless}, a.Position()).Contained }, "3s").Should(BeFalse())
+	g.Consistently(contained(crashing), "300ms").Should(BeTrue())
 }
 
 // Guards against two gates that have their turn at the same time.
--- a/gate/process/policy/containment.go
+++ b/gate/process/policy/containment.go
@@ -45,16 +45,16 @@
 
 // Containment decides which requests are refused because they would crash an
 // upstream. It answers a part of prompts on which each upstream crashes that begins to
-// respond, while sound requests share all other parts with those that crash.
+// respond, while healthy requests share all other parts with those that crash.
 //
-// A part is sound once a request with it has been responded to after the crash. Of the
-// other parts of a crash, those that occur in most crashes are suspect, and among these
-// those without any earlier success. A request is contained if it has all suspect parts
-// of a crash: as long as two parts cannot be told apart, requests with only one of
+// A part is cleared once an upstream has responded to a request with it after the crash.
+// Of the other parts of a crash, those that occur in most crashes are suspect, and among
+// these those without any earlier success. A request is contained if it has all suspect
+// parts of a crash: as long as two parts cannot be told apart, requests with only one of
 // them pass, and their result tells. A single crash contains only parts without any
 // success, since an upstream may crash for another reason while it responds to a
-// sound request. After the containment time, or as many refusals as a crash would cost,
-// gates try the parts again, one after the other and with one request each.
+// healthy request. After the containment time, or as many refusals as a crash would
+// cost, gates try the parts again, one after the other and with one request each.
 //
 // The zero value is ready to use. It is safe for concurrent use.
 type Containment struct {
@@ -159,7 +159,7 @@
 }
 
 // forget drops the crashes that no longer contain requests: those whose parts are
-// all sound and those that happened long ago.
+// all cleared and those that happened long ago.
 func (c *Containment) forget(now time.Time) {
 	c.crashes = slices.DeleteFunc(c.crashes, func(k Crash) bool {
 		return now.Sub(k.At) > crashRetention || !c.hasSuspects(k)
--- a/gate/process/policy/containment_test.go
+++ b/gate/process/policy/containment_test.go
@@ -15,7 +15,7 @@
 const (
 	popular uint64 = iota + 1
 	rare
-	deadly
+	crashing
 	other
 )
 
@@ -35,33 +35,33 @@
 	now := time.Now()
 	c.Success(now, popular)
 	now = now.Add(time.Second)
-	g.Expect(c.Observe(crashed(now, 1, popular, deadly))).To(BeTrue())
-	g.Expect(c.Check(now, []uint64{popular, deadly}, alone).Contained).To(BeTrue())
-	g.Expect(c.Check(now, []uint64{rare, deadly}, alone).Contained).To(BeTrue())
+	g.Expect(c.Observe(crashed(now, 1, popular, crashing))).To(BeTrue())
+	g.Expect(c.Check(now, []uint64{popular, crashing}, alone).Contained).To(BeTrue())
+	g.Expect(c.Check(now, []uint64{rare, crashing}, alone).Contained).To(BeTrue())
 	g.Expect(c.Check(now, []uint64{popular}, alone).Contained).To(BeFalse())
 	g.Expect(c.Check(now, []uint64{popular, other}, alone).Contained).To(BeFalse())
 	g.Expect(c.Check(now, nil, alone).Contained).To(BeFalse())
 }
 
-// Guards against the refusal of sound requests that share a part which is as unknown
+// Guards against the refusal of requests that share a part which is as unknown
 // as the one that crashes upstreams.
 func TestContainmentOfUnknownParts(t *testing.T) {
 	g := NewWithT(t)
 	var c policy.Containment
 	now := time.Now()
-	c.Observe(crashed(now, 1, rare, deadly))
+	c.Observe(crashed(now, 1, rare, crashing))
 	g.Expect(c.Check(now, []uint64{rare}, alone).Contained).To(BeFalse())
-	g.Expect(c.Check(now, []uint64{rare, deadly}, alone).Contained).To(BeTrue())
-	c.Observe(crashed(now.Add(time.Second), 2, other, deadly))
+	g.Expect(c.Check(now, []uint64{rare, crashing}, alone).Contained).To(BeTrue())
+	c.Observe(crashed(now.Add(time.Second), 2, other, crashing))
 	now = now.Add(2 * time.Second)
-	g.Expect(c.Check(now, []uint64{deadly}, alone).Contained).To(BeTrue())
+	g.Expect(c.Check(now, []uint64{crashing}, alone).Contained).To(BeTrue())
 	g.Expect(c.Check(now, []uint64{rare}, alone).Contained).To(BeFalse())
 	g.Expect(c.Check(now, []uint64{other}, alone).Contained).To(BeFalse())
 }
 
 // Guards against the refusal of a popular part because an upstream crashed for another
 // reason while it responded to one of its requests.
-func TestContainmentOfSoundPart(t *testing.T) {
+func TestContainmentOfPopularPart(t *testing.T) {
 	g := NewWithT(t)
 	var c policy.Containment
 	now := time.Now()
@@ -96,13 +96,13 @@
 	start := time.Now()
 	var all [gates]policy.Containment
 	for i := range all {
-		all[i].Observe(crashed(start, 1, deadly))
+		all[i].Observe(crashed(start, 1, crashing))
 	}
 	trials := map[int]int{}
 	var first time.Duration
 	for at := time.Duration(0); at < time.Minute; at += time.Second {
 		for i := range all {
-			if v := all[i].Check(start.Add(at), []uint64{deadly}, policy.Position{Index: i, Gates: gates}); !v.Contained {
+			if v := all[i].Check(start.Add(at), []uint64{crashing}, policy.Position{Index: i, Gates: gates}); !v.Contained {
 				g.Expect(v.Trial).To(BeTrue())
 				trials[int(at/time.Second)/2]++
 				if first == 0 {
@@ -116,36 +116,36 @@
 		g.Expect(n).To(Equal(1), "trials in slot %d", slot)
 	}
 	for i := range all {
-		all[i].Success(start.Add(time.Minute), deadly)
-		g.Expect(all[i].Check(start.Add(time.Minute), []uint64{deadly}, policy.Position{Index: i, Gates: gates}).Contained).To(BeFalse())
+		all[i].Success(start.Add(time.Minute), crashing)
+		g.Expect(all[i].Check(start.Add(time.Minute), []uint64{crashing}, policy.Position{Index: i, Gates: gates}).Contained).To(BeFalse())
 	}
 }
 
 // TestContainmentOfRandomTraffic plays random prompts on upstreams that crash on one
 // part, and now and then for another reason. It guards against more crashes than the
-// users' rule allows, and against more sound requests that are refused for what they
+// users' rule allows, and against more other requests that are refused for what they
 // share than a crash of 4 s costs at 60 requests a second.
 func TestContainmentOfRandomTraffic(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		shared := rapid.IntRange(1, 200).Draw(t, "shared parts")
-		deadlyShare := rapid.Float64Range(0.01, 0.3).Draw(t, "deadly")
+		crashingShare := rapid.Float64Range(0.01, 0.3).Draw(t, "crashing")
 		var c policy.Containment
 		now := time.Now()
-		crashes, refused, deadlySent := uint64(0), 0, 0
+		crashes, refused, crashingSent := uint64(0), 0, 0
 		for range 1500 {
 			now = now.Add(15 * ms)
 			parts := []uint64{1000 + uint64(rng.IntN(shared))}
-			isDeadly := rng.Float64() < deadlyShare
-			if isDeadly {
-				parts = append(parts, deadly)
+			isCrashing := rng.Float64() < crashingShare
+			if isCrashing {
+				parts = append(parts, crashing)
 			}
 			contained := c.Check(now, parts, alone).Contained
 			switch {
-			case contained && !isDeadly:
+			case contained && !isCrashing:
 				refused++
 			case contained:
-			case isDeadly || rng.IntN(500) == 0:
+			case isCrashing || rng.IntN(500) == 0:
 				crashes++
 				c.Observe(policy.Crash{ID: crashes, Upstream: crashes, Parts: parts, At: now})
 			default:
@@ -153,15 +153,15 @@
 			}
 			switch {
 			case contained:
-			case isDeadly:
-				deadlySent++
+			case isCrashing:
+				crashingSent++
 			}
 		}
-		if deadlySent > 5 {
-			t.Fatalf("%d upstreams crashed on the part", deadlySent)
+		if crashingSent > 5 {
+			t.Fatalf("%d upstreams crashed on the part", crashingSent)
 		}
-		if limit := 240 * (int(crashes) - deadlySent); refused > limit {
-			t.Fatalf("%d sound requests were refused, more than %d", refused, limit)
+		if limit := 240 * (int(crashes) - crashingSent); refused > limit {
+			t.Fatalf("%d other requests were refused, more than %d", refused, limit)
 		}
 	})
 }
--- a/gate/request/relay/contain.go
+++ b/gate/request/relay/contain.go
@@ -23,13 +23,13 @@
 	// crashCheckTimeout limits the check whether an upstream still accepts
 	// connections.
 	crashCheckTimeout = 150 * time.Millisecond
-	// soundEvents is the number of events after which an upstream has responded
+	// successEvents is the number of events after which an upstream has responded
 	// beyond the beginning.
-	soundEvents = 2
+	successEvents = 2
 )
 
 // partKeys returns the keys of the shared parts of the request's prompt. A part that
-// crashes the upstreams of one pool may be sound in another.
+// crashes the upstreams of one pool may be harmless in another.
 func (t *transaction) partKeys() []uint64 {
 	keys := make([]uint64, 0, len(t.info.PromptParts))
 	for _, part := range t.info.PromptParts {
@@ -108,8 +108,8 @@
 	return err == nil || trace.IsLimitExceeded(err)
 }
 
-// observeSound records that an upstream responds to the request.
-func (t *transaction) observeSound(now time.Time) {
+// recordSuccess records that an upstream responds to the request beyond the beginning.
+func (t *transaction) recordSuccess(now time.Time) {
 	if len(t.parts) > 0 && t.relay.Containment.Success(now, t.parts...) {
 		t.relay.notifyContainment()
 	}
--- a/gate/request/relay/crash_test.go
+++ b/gate/request/relay/crash_test.go
@@ -30,15 +30,15 @@
 	// number maxCrashes.
 	maxCrashes = 5
 	maxLater   = 3
-	// minServed is the fraction of sound requests that are to be served on a day with
+	// minServed is the fraction of other requests that are to be served on a day with
 	// such requests.
 	minServed   = 0.8
 	prefixField = "X-Parsleyroute-Prefix-Hash"
-	deadlyPart  = "dead"
+	crashPart  = "crash"
 )
 
 // crashSystem is the request path of a gate in front of workers that crash on a
-// prompt with deadlyPart and come back as other processes.
+// prompt with crashPart and come back as other processes.
 type crashSystem struct {
 	t      *testing.T
 	server *inlet.Server
@@ -47,8 +47,8 @@
 	mu      sync.Mutex
 	workers map[string]*worker.Worker
 	starts  int
-	// deadly counts the requests with deadlyPart that have reached a worker.
-	deadly int
+	// crashing counts the requests with crashPart that have reached a worker.
+	crashing int
 }
 
 func startCrashSystem(t *testing.T, workers int) *crashSystem {
@@ -111,7 +111,7 @@
 	w := &worker.Worker{ID: fmt.Sprintf("i-%d", s.starts)}
 	w.Script = func(c *worker.Conn, a *worker.ReceivedRequest) {
 		c.WriteStreamHeader(a)
-		if strings.Contains(a.Header.Get(prefixField), deadlyPart) {
+		if strings.Contains(a.Header.Get(prefixField), crashPart) {
 			s.crash(w)
 			return
 		}
@@ -129,7 +129,7 @@
 // crash ends a worker and starts another process in its place.
 func (s *crashSystem) crash(w *worker.Worker) {
 	s.mu.Lock()
-	s.deadly++
+	s.crashing++
 	delete(s.workers, w.ID)
 	s.mu.Unlock()
 	go w.Close()
@@ -179,13 +179,13 @@
 		if s.send(fmt.Sprintf("%s,%x:500", first, 1000+i)) == http.StatusOK {
 			served++
 		}
-		status := s.send(fmt.Sprintf("%s,%s:165,%x:500", first, deadlyPart, 2000+i))
+		status := s.send(fmt.Sprintf("%s,%s:165,%x:500", first, crashPart, 2000+i))
 		g.Expect(status).NotTo(Equal(http.StatusOK))
 		time.Sleep(20 * time.Millisecond)
 	}
 	s.mu.Lock()
-	deadly := s.deadly
+	crashing := s.crashing
 	s.mu.Unlock()
-	g.Expect(deadly).To(BeNumerically("<=", maxCrashes+maxLater), "requests that reached an upstream and crashed it")
-	g.Expect(float64(served)/rounds).To(BeNumerically(">=", minServed), "sound requests served")
+	g.Expect(crashing).To(BeNumerically("<=", maxCrashes+maxLater), "requests that reached an upstream and crashed it")
+	g.Expect(float64(served)/rounds).To(BeNumerically(">=", minServed), "other requests served")
 }
--- a/gate/request/relay/reports_test.go
+++ b/gate/request/relay/reports_test.go
@@ -164,3 +164,34 @@
 		}
 	})
 })
+
+var _ = Describe("A stream without a length that ends with its connection", func() {
+	write := func(c *worker.Conn, a *worker.ReceivedRequest, body string) {
+		c.Printf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig-%s\r\nContent-Type: text/event-stream\r\n\r\n%s", worker.HeaderAttemptID, a.AttemptID, worker.HeaderSignature, "x", body)
+		c.Disconnect()
+	}
+
+	// Guards against a complete stream that is cut off or resumed.
+	It("is complete if it ends between two events", func() {
+		s := startSystem(func(c *worker.Conn, a *worker.ReceivedRequest) { write(c, a, eventStream(1, 2)) })
+		_, body, err := s.call("/stream/", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(eventStream(1, 2)))
+		Expect(s.receivedCount()).To(Equal(1))
+	})
+
+	// Guards against a stream that looks complete although its upstream broke it off.
+	It("is resumed if it ends within an event", func() {
+		script := func(c *worker.Conn, a *worker.ReceivedRequest) {
+			if a.Header.Get(worker.HeaderLastEventID) == "" {
+				write(c, a, eventStream(1)+"id: 2\nda")
+				return
+			}
+			write(c, a, eventStream(2))
+		}
+		s := startSystem(script, script)
+		_, body, err := s.call("/stream/", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(eventStream(1, 2)))
+	})
+})
--- a/gate/request/relay/stream.go
+++ b/gate/request/relay/stream.go
@@ -38,7 +38,7 @@
 	for n := 0; ; {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			t.observeSound(time.Now())
+			t.recordSuccess(time.Now())
 			return t.endStream(h)
 		}
 		if err != nil {
@@ -57,8 +57,8 @@
 			t.abortCallerDisconnected()
 			return attemptResult{outcome: fleet.Inconclusive, err: err}
 		}
-		if n++; n == soundEvents {
-			t.observeSound(time.Now())
+		if n++; n == successEvents {
+			t.recordSuccess(time.Now())
 		}
 	}
 }
