--- a/gate/request/relay/crash_test.go
+++ b/gate/request/relay/crash_test.go
@@ -34,7 +34,7 @@
 	// such requests.
 	minServed   = 0.8
 	prefixField = "X-Parsleyroute-Prefix-Hash"
-	crashPart  = "crash"
+	crashPart   = "crash"
 )
 
 // crashSystem is the request path of a gate in front of workers that crash on a
