Leave loads out of a heartbeat that is too large

Cause: found by reading. Crashes with many parts made a heartbeat larger than a datagram may be, and it was not sent at all. TestHeartbeatWithManyCrashes failed before (no crash reached the other gate).

--- a/gate/process/gossip/crashes_test.go
+++ b/gate/process/gossip/crashes_test.go
@@ -49,3 +49,29 @@
 		return positions
 	}, "3s").Should(Equal(map[policy.Position]bool{{Index: 0, Gates: 3}: true, {Index: 1, Gates: 3}: true, {Index: 2, Gates: 3}: true}))
 }
+
+// Guards against heartbeats that are never sent because many crashes make them too
+// large.
+func TestHeartbeatWithManyCrashes(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newGossip(t, "a"), newGossip(t, "bb")
+	b.Seeds = append(b.Seeds, a.Listen)
+	a.Containment, b.Containment = &policy.Containment{}, &policy.Containment{}
+	loads := map[uint64]int{}
+	for i := range uint64(400) {
+		loads[i<<40] = 1000
+	}
+	a.Loads = func() map[uint64]int { return loads }
+	now := time.Now()
+	for i := range uint64(64) {
+		parts := make([]uint64, 32)
+		for j := range parts {
+			parts[j] = i<<32 | uint64(j)<<8
+		}
+		a.Containment.Observe(policy.Crash{ID: i + 1, Upstream: i + 1, Parts: parts, At: now})
+	}
+	startGossip(t, a)
+	startGossip(t, b)
+	g.Eventually(func() int { return len(b.Containment.Crashes(time.Now())) }, "3s").Should(BeNumerically(">", 0))
+	g.Eventually(func() int { return len(b.RemoteLoads()) }, "3s").Should(BeNumerically(">", 0))
+}
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -208,6 +208,11 @@
 	recipients, live := g.selectPeers(sequence, maxPeers)
 	b.Peers = live
 	data, err := proto.Marshal(b)
+	for err == nil && len(data) > maxDatagramBytes && len(b.Loads) > 0 {
+		// Crashes and progress take precedence over loads.
+		b.Loads = b.Loads[:len(b.Loads)/2]
+		data, err = proto.Marshal(b)
+	}
 	if err != nil || len(data) > maxDatagramBytes {
 		meter.Event("beat_errors")
 		return
