--- a/gate/process/view/pack_test.go
+++ b/gate/process/view/pack_test.go
@@ -50,6 +50,18 @@
 	return data
 }
 
+// runTasks runs the tasks of a view that follows no store, as its owner goroutine does.
+func runTasks(ctx context.Context, v *View) {
+	for {
+		select {
+		case f := <-v.tasks:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Guards against pulls of a large configuration that all time out because many gates
 // pull it from a peer with a slow link at the same time.
 func TestLargeConfigOverSlowLink(t *testing.T) {
@@ -62,16 +74,7 @@
 	defer cancel()
 	peer := &View{Decoder: platform.Decoder{}, OnChange: func(State) {}}
 	peer.init()
-	go func() {
-		for {
-			select {
-			case f := <-peer.tasks:
-				f()
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
+	go runTasks(ctx, peer)
 	object := core.Object{Key: core.Key{Kind: core.KindConfig, Name: core.ActiveConfigName}, Version: 900, Value: largeConfig(30)}
 	peer.enqueue(ctx, func() { peer.apply(core.KindConfig, []core.Object{object}, 900, true, "test") })
 	var version atomic.Uint64
--- a/gate/process/view/view_test.go
+++ b/gate/process/view/view_test.go
@@ -246,16 +246,7 @@
 		peer.init()
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
-		go func() {
-			for {
-				select {
-				case f := <-peer.tasks:
-					f()
-				case <-ctx.Done():
-					return
-				}
-			}
-		}()
+		go runTasks(ctx, peer)
 		object := core.Object{Key: core.Key{Kind: core.KindConfig, Name: core.ActiveConfigName}, Version: 900, Value: []byte(`{"version":30}`)}
 		peer.enqueue(ctx, func() { peer.apply(core.KindConfig, []core.Object{object}, 900, true, "test") })
 		w.Pull = func(ctx context.Context, _ netip.AddrPort, r *wire.PullRequest) (*wire.PullResponse, error) {
