Send a request that tries a contained part again only once

Cause: a request that was let through as a trial was exempt from containment for the rest of its handling, also from the check before its retry, so that it met the next upstream after it had crashed the first. The exemption now ends once an upstream has begun to run the request.

--- a/gate/request/relay/crash_test.go
+++ b/gate/request/relay/crash_test.go
@@ -43,6 +43,7 @@
 	t      *testing.T
 	server *inlet.Server
 	fleet  *fleet.Fleet
+	relay  *relay.Relay
 
 	mu      sync.Mutex
 	workers map[string]*worker.Worker
@@ -79,13 +80,13 @@
 		}
 	})
 	table := route.Compile(config)
+	s.relay = &relay.Relay{
+		Protocol: platform.Protocol{}, Table: func() *route.Table { return table },
+		Picker:      &fleet.Picker{Fleet: s.fleet, Zone: "z"},
+		RetryLimits: relay.RetryLimits{Ratio: 1, Burst: 10, Window: 10 * time.Second},
+	}
 	s.server = &inlet.Server{
-		Listen: netip.MustParseAddrPort("127.0.0.1:0"),
-		Handler: &relay.Relay{
-			Protocol: platform.Protocol{}, Table: func() *route.Table { return table },
-			Picker:      &fleet.Picker{Fleet: s.fleet, Zone: "z"},
-			RetryLimits: relay.RetryLimits{Ratio: 1, Burst: 10, Window: 10 * time.Second},
-		},
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Handler: s.relay,
 		Limits: func() core.CallerLimits { return config.Limits },
 	}
 	g.Expect(s.server.Start()).To(Succeed())
@@ -136,6 +137,12 @@
 	time.AfterFunc(50*time.Millisecond, s.startWorker)
 }
 
+func (s *crashSystem) crashingRequests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashing
+}
+
 func (s *crashSystem) updateFleet(config *core.Config) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -183,9 +190,25 @@
 		g.Expect(status).NotTo(Equal(http.StatusOK))
 		time.Sleep(20 * time.Millisecond)
 	}
-	s.mu.Lock()
-	crashing := s.crashing
-	s.mu.Unlock()
-	g.Expect(crashing).To(BeNumerically("<=", maxCrashes+maxLater), "requests that reached an upstream and crashed it")
+	g.Expect(s.crashingRequests()).To(BeNumerically("<=", maxCrashes+maxLater), "requests that reached an upstream and crashed it")
 	g.Expect(float64(served)/rounds).To(BeNumerically(">=", minServed), "other requests served")
 }
+
+// Guards against a request that tries a contained part again and, after it has crashed
+// an upstream, is sent to the next one.
+func TestTrialIsSentOnce(t *testing.T) {
+	g := NewWithT(t)
+	parts := crashPart + ":165,1:500"
+	first := startCrashSystem(t, 2)
+	first.send(parts)
+	crashes := first.relay.Containment.Crashes(time.Now())
+	g.Expect(crashes).NotTo(BeEmpty())
+
+	s := startCrashSystem(t, 2)
+	for _, c := range crashes {
+		c.At = c.At.Add(-20 * time.Minute)
+		s.relay.Containment.Observe(c)
+	}
+	g.Expect(s.send(parts)).NotTo(Equal(http.StatusOK))
+	g.Expect(s.crashingRequests()).To(Equal(1))
+}
--- a/gate/request/relay/transaction.go
+++ b/gate/request/relay/transaction.go
@@ -53,7 +53,8 @@
 	configVersion uint64
 	// parts are the keys of the shared parts of the request's prompt.
 	parts []uint64
-	// trial is set if the request is sent to try its suspect parts again.
+	// trial is set while the request is to try its suspect parts again. It lasts
+	// until an upstream has begun to run the request.
 	trial bool
 	start time.Time
 	// deadline is the time by which the final response must be written.
@@ -104,6 +105,9 @@
 			return
 		}
 		status := t.attempt(ctx, u)
+		if status == attemptFailed || status == attemptLost {
+			t.trial = false
+		}
 		t.poolState.queue.Grant()
 		if status == attemptDone || !t.retryOrRespond(ctx, status) {
 			return
