Try a contained part again when its refusals have cost as much as a crash

A refused caller who is not missed cost as much as one in good health.

Change: a part is tried again early once the refused fraction of the requests, without those that come back, has cost as much as the 3.5 s for which a crash stops a group; else after 2 min (30 s before), since a crash costs more than some percent of the requests for that time.

TestContainmentOfReturningCallers failed before (a trial at request 500 of 1,800) and passes. TestContainmentTrials has other traffic beside the part now, and expects the first trial after 2 min; it still allows one trial for each slot.

--- a/gate/process/policy/containment.go
+++ b/gate/process/policy/containment.go
@@ -9,12 +9,15 @@
 const (
 	// containmentTime is how long requests with a suspect part are contained after
 	// its first crash. It doubles with each further one, up to maxContainmentTime.
-	// A crash stops all requests of a group for about 4 s.
-	containmentTime    = 30 * time.Second
+	containmentTime    = 2 * time.Minute
 	maxContainmentTime = 15 * time.Minute
-	// maxRefusals is the number of refused requests after which a part is tried again
-	// early, which also doubles with each crash. A crash costs about as many requests.
-	maxRefusals = 200
+	// outageTime is how long a crash stops all requests of a group. A part is tried
+	// again early once the refusals have cost as many requests, which also doubles
+	// with each crash.
+	outageTime = 3500 * time.Millisecond
+	// minRequests is added to the requests of which the refused fraction is taken, so
+	// that the first few do not decide.
+	minRequests = 10
 	// maxDoublings keeps the containment time from overflowing.
 	maxDoublings = 10
 	// trialSlot is the time in which only one gate may try a contained part again.
@@ -53,8 +56,8 @@
 // parts of a crash: as long as two parts cannot be told apart, requests with only one of
 // them pass, and their result tells. A single crash contains only parts without any
 // success, since an upstream may crash for another reason while it responds to a
-// healthy request. After the containment time, or as many refusals as a crash would
-// cost, gates try the parts again, one after the other and with one request each.
+// healthy request. After the containment time, or once the refusals have cost as much
+// as a crash, gates try the parts again, one after the other and with one request each.
 //
 // The zero value is ready to use. It is safe for concurrent use.
 type Containment struct {
@@ -66,13 +69,18 @@
 	// trials holds what this gate has done about each suspect part since its last
 	// crash.
 	trials map[uint64]*trial
+	// requests counts the checked requests, without those of returned callers.
+	requests int
 }
 
 // trial is what a gate has done about a suspect part since its last crash.
 type trial struct {
-	// refusals counts the refused requests since the last trial, at the time at.
-	refusals int
-	at       time.Time
+	// at is the time of the last trial.
+	at time.Time
+	// since is the time from which refused counts the refused requests without those
+	// of returned callers. There had been requestsBefore requests by then.
+	since                   time.Time
+	refused, requestsBefore int
 }
 
 // Success records that an upstream has responded to a request with these parts beyond
@@ -193,18 +201,28 @@
 // turns.
 type Position struct{ Index, Gates int }
 
-// Check decides whether a request with the given parts may be sent by the gate at the
-// given position.
-func (c *Containment) Check(now time.Time, parts []uint64, p Position) Verdict {
+// Request is what Containment has to know of a request.
+type Request struct {
+	// Parts are the shared parts of its prompt.
+	Parts []uint64
+	// Returned is set if its caller has come back after a failure.
+	Returned bool
+}
+
+// Check decides whether a request may be sent by the gate at the given position.
+func (c *Containment) Check(now time.Time, r Request, p Position) Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !r.Returned {
+		c.requests++
+	}
 	var verdict Verdict
 	for _, crash := range c.crashes {
-		if !slices.ContainsFunc(crash.Parts, func(p uint64) bool { return slices.Contains(parts, p) }) {
+		if !slices.ContainsFunc(crash.Parts, func(p uint64) bool { return slices.Contains(r.Parts, p) }) {
 			continue
 		}
 		suspects, count := c.suspects(crash)
-		if len(suspects) == 0 || !containsAll(parts, suspects) {
+		if len(suspects) == 0 || !containsAll(r.Parts, suspects) {
 			continue
 		}
 		part := suspects[0]
@@ -213,33 +231,44 @@
 			verdict = Verdict{Contained: true, Until: until, Part: part, Crashes: count}
 		}
 	}
-	if verdict.Contained && c.takeTrial(now, verdict, p) {
+	if !verdict.Contained {
+		return verdict
+	}
+	t := c.trialOf(verdict.Part, now)
+	if !r.Returned {
+		t.refused++
+	}
+	if t.isTurn(now, c.lastCrash(verdict.Part), p) && (!now.Before(verdict.Until) || c.refusedTime(now, t) >= outageTime<<min(verdict.Crashes-1, maxDoublings)) {
+		t.at, t.since, t.refused, t.requestsBefore = now, now, 0, c.requests
 		verdict.Contained, verdict.Trial = false, true
 	}
 	return verdict
 }
 
-// takeTrial reports whether this gate tries the part of a verdict now, and otherwise
-// counts the refusal. From the last crash on, the gates have turns of one trialSlot
-// each.
-func (c *Containment) takeTrial(now time.Time, v Verdict, p Position) bool {
-	t := c.trials[v.Part]
+// trialOf returns what this gate has done about a suspect part since its last crash.
+func (c *Containment) trialOf(part uint64, now time.Time) *trial {
+	t := c.trials[part]
 	if t == nil {
 		if c.trials == nil {
 			c.trials = map[uint64]*trial{}
 		}
-		t = &trial{}
-		c.trials[v.Part] = t
+		t = &trial{since: now, requestsBefore: c.requests}
+		c.trials[part] = t
 	}
-	n := max(1, p.Gates)
-	due := !now.Before(v.Until) || t.refusals*n >= maxRefusals<<min(v.Crashes-1, maxDoublings)
-	turn := int(max(0, now.Sub(c.lastCrash(v.Part)))/trialSlot) % n
-	if !due || turn != p.Index || now.Sub(t.at) < trialSlot {
-		t.refusals++
-		return false
-	}
-	t.refusals, t.at = 0, now
-	return true
+	return t
+}
+
+// isTurn reports whether it is the turn of the gate at position p to try a part again.
+// From the last crash on, the gates have turns of one trialSlot each.
+func (t *trial) isTurn(now, lastCrash time.Time, p Position) bool {
+	turn := int(max(0, now.Sub(lastCrash))/trialSlot) % max(1, p.Gates)
+	return turn == p.Index && now.Sub(t.at) >= trialSlot
+}
+
+// refusedTime returns the time in which as many requests arrive as have been refused.
+func (c *Containment) refusedTime(now time.Time, t *trial) time.Duration {
+	fraction := float64(t.refused) / float64(c.requests-t.requestsBefore+minRequests)
+	return time.Duration(fraction * float64(now.Sub(t.since)))
 }
 
 // suspects returns the parts of a crash that may have caused it, and the number of
--- a/gate/request/relay/contain.go
+++ b/gate/request/relay/contain.go
@@ -45,7 +45,7 @@
 		return false
 	}
 	now := time.Now()
-	v := t.relay.Containment.Check(now, t.parts, t.relay.position())
+	v := t.relay.Containment.Check(now, policy.Request{Parts: t.parts, Returned: t.returned()}, t.relay.position())
 	if !v.Contained && !v.Trial {
 		return false
 	}
--- a/gate/request/relay/transaction.go
+++ b/gate/request/relay/transaction.go
@@ -176,14 +176,18 @@
 // the caller has left shows that this is not its first try.
 const returnedFraction = 0.9
 
+// returned reports whether the caller has come back after a refusal or failure.
+func (t *transaction) returned() bool {
+	return t.info.Timeout > 0 && t.info.Timeout < time.Duration(returnedFraction*float64(t.route.Timeout))
+}
+
 // late reports whether the response will be late even if the request is sent now: it
 // has waited before, its caller has come back after a refusal, or the pool is down.
 func (t *transaction) late(now time.Time) bool {
 	if objective := t.route.LatencyObjective; objective == 0 || now.Sub(t.start) > objective {
 		return true
 	}
-	return t.info.Timeout > 0 && t.info.Timeout < time.Duration(returnedFraction*float64(t.route.Timeout)) ||
-		t.relay.Picker.PoolState(now, t.pool) == fleet.PoolDown
+	return t.returned() || t.relay.Picker.PoolState(now, t.pool) == fleet.PoolDown
 }
 
 // timedOut reports whether the deadline has passed. It does not rely on ctx
