Count upstreams that crash at the same time as one outage

Cause: the number of upstreams that had crashed on a part counted as independent evidence, also if they were lost at the same moment for the same reason, such as a rack. Two of them with one popular part sufficed to refuse all requests with it.

Change: crashes within 0.5 s of one outage count once. A part that other upstreams of a mass crash do not share is no longer suspect by it; one that all of them share is.

TestContainmentOfSimultaneousCrashes failed before (popular part contained) and passes.

--- a/gate/process/policy/containment.go
+++ b/gate/process/policy/containment.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -25,10 +26,11 @@
 	trialSlot = 2 * time.Second
 	// crashRetention is how long a crash is remembered.
 	crashRetention = 2 * maxContainmentTime
-	// massCrash is the number of upstreams that are lost within massCrashWindow for
-	// another cause than a request to be likely, such as a network partition.
-	massCrash       = 4
-	massCrashWindow = 500 * time.Millisecond
+	// outageWindow is the time within which crashes are taken for one outage, such as
+	// the loss of a rack. massCrash is the number of upstreams that are lost in one
+	// outage for another cause than a request to be likely.
+	outageWindow = 500 * time.Millisecond
+	massCrash    = 4
 	// maxCrashes and maxCrashParts limit the crashes that are kept and the parts of
 	// each, maxSuccesses the successes in each of two maps.
 	maxCrashes    = 64
@@ -51,8 +53,8 @@
 // respond, while healthy requests share all other parts with those that crash.
 //
 // A part is cleared once an upstream has responded to a request with it after the crash.
-// Of the other parts of a crash, those that occur in most crashes are suspect, and among
-// these those without any earlier success. A request is contained if it has all suspect
+// Of the other parts of a crash, those that occur in most outages are suspect, among these
+// those without any earlier success, and among these those in most crashes. A request is contained if it has all suspect
 // parts of a crash: as long as two parts cannot be told apart, requests with only one of
 // them pass, and their result tells. A single crash contains only parts without any
 // success, since an upstream may crash for another reason while it responds to a
@@ -188,10 +190,10 @@
 	// time at which another one with its parts may be.
 	Contained bool
 	Until     time.Time
-	// Part is a suspect part of the request, and Crashes the number of upstreams
-	// that have crashed on it.
+	// Part is a suspect part of the request, and Outages the number of outages in
+	// which upstreams have crashed on it.
 	Part    uint64
-	Crashes int
+	Outages int
 	// Trial is set if the request is not contained so that its suspect parts are
 	// tried again.
 	Trial bool
@@ -228,7 +230,7 @@
 		part := suspects[0]
 		until := c.lastCrash(part).Add(min(containmentTime<<min(count-1, maxDoublings), maxContainmentTime))
 		if !verdict.Contained || until.After(verdict.Until) {
-			verdict = Verdict{Contained: true, Until: until, Part: part, Crashes: count}
+			verdict = Verdict{Contained: true, Until: until, Part: part, Outages: count}
 		}
 	}
 	if !verdict.Contained {
@@ -238,7 +240,7 @@
 	if !r.Returned {
 		t.refused++
 	}
-	if t.isTurn(now, c.lastCrash(verdict.Part), p) && (!now.Before(verdict.Until) || c.refusedTime(now, t) >= outageTime<<min(verdict.Crashes-1, maxDoublings)) {
+	if t.isTurn(now, c.lastCrash(verdict.Part), p) && (!now.Before(verdict.Until) || c.refusedTime(now, t) >= outageTime<<min(verdict.Outages-1, maxDoublings)) {
 		t.at, t.since, t.refused, t.requestsBefore = now, now, 0, c.requests
 		verdict.Contained, verdict.Trial = false, true
 	}
@@ -271,43 +273,72 @@
 	return time.Duration(fraction * float64(now.Sub(t.since)))
 }
 
+// evidence is what speaks against a part.
+type evidence struct {
+	// outages and upstreams count the crashes on requests with the part since its
+	// last success.
+	outages, upstreams int
+	// novel is set if no upstream has ever responded to the part.
+	novel bool
+}
+
+// compare returns a positive number if e is the stronger evidence, and a negative one if
+// o is.
+func (e evidence) compare(o evidence) int {
+	switch {
+	case e.outages != o.outages || e.novel == o.novel:
+		return cmp.Or(cmp.Compare(e.outages, o.outages), cmp.Compare(e.upstreams, o.upstreams))
+	case e.novel:
+		return 1
+	}
+	return -1
+}
+
 // suspects returns the parts of a crash that may have caused it, and the number of
-// upstreams that have crashed on them. It returns none if the evidence does not
-// suffice for containment.
-func (c *Containment) suspects(crash Crash) (parts []uint64, count int) {
-	novel := false
+// outages in which upstreams have crashed on them. It returns none if the evidence does
+// not suffice for containment.
+func (c *Containment) suspects(crash Crash) (parts []uint64, outages int) {
+	var strongest evidence
 	for _, p := range crash.Parts {
-		last := c.lastSuccess(p)
-		if !crash.At.After(last) {
+		if !crash.At.After(c.lastSuccess(p)) {
 			continue
 		}
-		n := c.countCrashes(p)
-		isNovel := last.IsZero()
-		switch {
-		case n < count || n == count && novel && !isNovel:
+		e := c.evidence(p)
+		switch order := e.compare(strongest); {
+		case order < 0:
 			continue
-		case n > count || isNovel && !novel:
-			parts, count, novel = nil, n, isNovel
+		case order > 0:
+			parts, strongest = nil, e
 		}
 		parts = append(parts, p)
 	}
-	if count < 2 && (!novel || c.isMassCrash(crash)) {
+	if strongest.outages < 2 && (!strongest.novel || c.isMassCrash(crash, parts[0])) {
 		return nil, 0
 	}
-	return parts, count
+	return parts, strongest.outages
 }
 
-// countCrashes returns the number of upstreams that have crashed on requests with the
-// part since its last success.
-func (c *Containment) countCrashes(part uint64) int {
+// evidence returns what speaks against a part.
+func (c *Containment) evidence(part uint64) evidence {
 	last := c.lastSuccess(part)
+	var crashed []time.Time
 	upstreams := map[uint64]bool{}
 	for _, k := range c.crashes {
 		if k.At.After(last) && slices.Contains(k.Parts, part) {
+			crashed = append(crashed, k.At)
 			upstreams[k.Upstream] = true
 		}
 	}
-	return len(upstreams)
+	slices.SortFunc(crashed, time.Time.Compare)
+	e := evidence{upstreams: len(upstreams), novel: last.IsZero()}
+	var start time.Time
+	for _, at := range crashed {
+		if at.Sub(start) > outageWindow {
+			start = at
+			e.outages++
+		}
+	}
+	return e
 }
 
 // lastCrash returns the time of the last crash on a request with the part.
@@ -321,16 +352,19 @@
 	return last
 }
 
-// isMassCrash reports whether so many upstreams were lost at about the same time that
-// one request is not the likely cause.
-func (c *Containment) isMassCrash(crash Crash) bool {
-	upstreams := map[uint64]bool{}
+// isMassCrash reports whether so many upstreams were lost in the outage of a crash without
+// a request with the part that one part is not the likely cause.
+func (c *Containment) isMassCrash(crash Crash, part uint64) bool {
+	with, lost := map[uint64]bool{}, map[uint64]bool{}
 	for _, k := range c.crashes {
-		if k.At.Sub(crash.At).Abs() <= massCrashWindow {
-			upstreams[k.Upstream] = true
+		if k.At.Sub(crash.At).Abs() <= outageWindow {
+			lost[k.Upstream] = true
+			if slices.Contains(k.Parts, part) {
+				with[k.Upstream] = true
+			}
 		}
 	}
-	return len(upstreams) >= massCrash
+	return len(lost) >= massCrash && len(with) < len(lost)
 }
 
 func containsAll(parts, wanted []uint64) bool {
--- a/gate/process/policy/containment_test.go
+++ b/gate/process/policy/containment_test.go
@@ -225,3 +225,29 @@
 		}
 	}
 }
+
+// Guards against the refusal of a popular part because several upstreams were lost at the
+// same time for another reason, each with a request that had it.
+func TestContainmentOfSimultaneousCrashes(t *testing.T) {
+	g := NewWithT(t)
+	var c policy.Containment
+	now := time.Now()
+	c.Success(now, popular)
+	now = now.Add(time.Second)
+	for i := range uint64(3) {
+		c.Observe(crashed(now.Add(time.Duration(i)*10*ms), 10+i, popular))
+	}
+	g.Expect(c.Check(now.Add(time.Second), policy.Request{Parts: []uint64{popular}}, alone).Contained).To(BeFalse())
+}
+
+// Guards against a part that goes on crashing upstreams because it crashed many at the same
+// time.
+func TestContainmentOfFrequentPart(t *testing.T) {
+	g := NewWithT(t)
+	var c policy.Containment
+	now := time.Now()
+	for i := range uint64(6) {
+		c.Observe(crashed(now.Add(time.Duration(i)*10*ms), 10+i, 100+i, crashing))
+	}
+	g.Expect(c.Check(now.Add(time.Second), policy.Request{Parts: []uint64{200, crashing}}, alone).Contained).To(BeTrue())
+}
--- a/gate/request/relay/contain.go
+++ b/gate/request/relay/contain.go
@@ -49,7 +49,7 @@
 	if !v.Contained && !v.Trial {
 		return false
 	}
-	t.log("crash_suspect", "contained", v.Contained, "trial", v.Trial, "part", partName(v.Part), "crashes", v.Crashes, "until", v.Until.Sub(now))
+	t.log("crash_suspect", "contained", v.Contained, "trial", v.Trial, "part", partName(v.Part), "outages", v.Outages, "until", v.Until.Sub(now))
 	switch {
 	case v.Trial:
 		t.trial = true
