Contain only the part that explains a crash best among all requests at the upstream

After two outages without a response to their part in between, all requests with that part, which crashes nothing, were refused for a minute (LOST), and one with a part that no upstream had responded to yet for 30 s.

Change: the requests at one upstream are compared. Only the part with the strongest evidence is contained; of equal ones, the combination of more parts. If two requests with different parts are as suspect, both are contained, and the part that is requested less is tried at once: a part that is frequent and has had no success is more likely the cause.

TestContainmentBesideHealthyRequests, TestContainmentOfSharedUnknownPart and TestContainmentOfRivals failed before and pass.

--- a/gate/process/policy/containment.go
+++ b/gate/process/policy/containment.go
@@ -21,6 +21,9 @@
 	minRequests = 10
 	// maxDoublings keeps the containment time from overflowing.
 	maxDoublings = 10
+	// rivalFactor is how many times as many requests with one of two parts, either of
+	// which may have caused a crash, are refused before the other part is tried.
+	rivalFactor = 4
 	// trialSlot is the time in which only one gate may try a contained part again.
 	// It is longer than a result takes to reach the other gates.
 	trialSlot = 2 * time.Second
@@ -197,12 +200,21 @@
 	// Trial is set if the request is not contained so that its suspect parts are
 	// tried again.
 	Trial bool
+	// rival is a part of another request that may as well have caused the crash, or
+	// zero.
+	rival uint64
 }
 
 // Position is the place of a gate in the order of all gates, in which they have their
 // turns.
 type Position struct{ Index, Gates int }
 
+// isTurn reports whether it is the turn of the gate to try a part again, some time after
+// the part's last crash. The gates have turns of one trialSlot each.
+func (p Position) isTurn(sinceCrash time.Duration) bool {
+	return int(max(0, sinceCrash)/trialSlot)%max(1, p.Gates) == p.Index
+}
+
 // Request is what Containment has to know of a request.
 type Request struct {
 	// Parts are the shared parts of its prompt.
@@ -223,14 +235,18 @@
 		if !slices.ContainsFunc(crash.Parts, func(p uint64) bool { return slices.Contains(r.Parts, p) }) {
 			continue
 		}
-		suspects, count := c.suspects(crash)
-		if len(suspects) == 0 || !containsAll(r.Parts, suspects) {
+		s := c.suspects(crash)
+		if len(s.parts) == 0 || !containsAll(r.Parts, s.parts) {
 			continue
 		}
-		part := suspects[0]
-		until := c.lastCrash(part).Add(min(containmentTime<<min(count-1, maxDoublings), maxContainmentTime))
+		rival, explained := c.otherSuspect(crash, s)
+		if explained {
+			continue
+		}
+		part := s.parts[0]
+		until := c.lastCrash(part).Add(min(containmentTime<<min(s.outages-1, maxDoublings), maxContainmentTime))
 		if !verdict.Contained || until.After(verdict.Until) {
-			verdict = Verdict{Contained: true, Until: until, Part: part, Outages: count}
+			verdict = Verdict{Contained: true, Until: until, Part: part, Outages: s.outages, rival: rival}
 		}
 	}
 	if !verdict.Contained {
@@ -240,13 +256,27 @@
 	if !r.Returned {
 		t.refused++
 	}
-	if t.isTurn(now, c.lastCrash(verdict.Part), p) && (!now.Before(verdict.Until) || c.refusedTime(now, t) >= outageTime<<min(verdict.Outages-1, maxDoublings)) {
+	if c.isTrialDue(now, t, verdict, p) {
 		t.at, t.since, t.refused, t.requestsBefore = now, now, 0, c.requests
 		verdict.Contained, verdict.Trial = false, true
 	}
 	return verdict
 }
 
+// isTrialDue reports whether this gate may try the part of a verdict now.
+func (c *Containment) isTrialDue(now time.Time, t *trial, v Verdict, p Position) bool {
+	if now.Sub(t.at) < trialSlot {
+		return false
+	}
+	// A part that upstreams have not responded to because few requests have it is told
+	// from one that is new and frequent, and tried first.
+	if r := c.trials[v.rival]; r != nil && r.refused >= rivalFactor*max(1, t.refused) {
+		return true
+	}
+	isDue := !now.Before(v.Until) || c.refusedTime(now, t) >= outageTime<<min(v.Outages-1, maxDoublings)
+	return isDue && p.isTurn(now.Sub(c.lastCrash(v.Part)))
+}
+
 // trialOf returns what this gate has done about a suspect part since its last crash.
 func (c *Containment) trialOf(part uint64, now time.Time) *trial {
 	t := c.trials[part]
@@ -260,13 +290,6 @@
 	return t
 }
 
-// isTurn reports whether it is the turn of the gate at position p to try a part again.
-// From the last crash on, the gates have turns of one trialSlot each.
-func (t *trial) isTurn(now, lastCrash time.Time, p Position) bool {
-	turn := int(max(0, now.Sub(lastCrash))/trialSlot) % max(1, p.Gates)
-	return turn == p.Index && now.Sub(t.at) >= trialSlot
-}
-
 // refusedTime returns the time in which as many requests arrive as have been refused.
 func (c *Containment) refusedTime(now time.Time, t *trial) time.Duration {
 	fraction := float64(t.refused) / float64(c.requests-t.requestsBefore+minRequests)
@@ -294,28 +317,58 @@
 	return -1
 }
 
-// suspects returns the parts of a crash that may have caused it, and the number of
-// outages in which upstreams have crashed on them. It returns none if the evidence does
-// not suffice for containment.
-func (c *Containment) suspects(crash Crash) (parts []uint64, outages int) {
-	var strongest evidence
+// suspicion is what a request is suspected of that was at an upstream when it crashed.
+type suspicion struct {
+	// parts are the parts that may have caused the crash, with the same evidence
+	// against each.
+	parts []uint64
+	evidence
+}
+
+// suspects returns the parts of a crash with the strongest evidence against them. It
+// returns none if the evidence does not suffice for containment.
+func (c *Containment) suspects(crash Crash) suspicion {
+	var s suspicion
 	for _, p := range crash.Parts {
 		if !crash.At.After(c.lastSuccess(p)) {
 			continue
 		}
 		e := c.evidence(p)
-		switch order := e.compare(strongest); {
+		switch order := e.compare(s.evidence); {
 		case order < 0:
 			continue
 		case order > 0:
-			parts, strongest = nil, e
+			s = suspicion{evidence: e}
 		}
-		parts = append(parts, p)
+		s.parts = append(s.parts, p)
 	}
-	if strongest.outages < 2 && (!strongest.novel || c.isMassCrash(crash, parts[0])) {
-		return nil, 0
+	if s.outages < 2 && (!s.novel || c.isMassCrash(crash, s.parts[0])) {
+		return suspicion{}
+	}
+	return s
+}
+
+// otherSuspect compares the suspicion of a request with those of the other requests that
+// the same upstream had just begun to respond to when it crashed. It reports whether one
+// of these explains the crash better: by stronger evidence, or by the same parts and
+// others, which fewer requests have. If one explains it as well by other parts, rival is
+// such a part.
+func (c *Containment) otherSuspect(crash Crash, s suspicion) (rival uint64, explained bool) {
+	for _, k := range c.crashes {
+		if k.Upstream != crash.Upstream || k.ID == crash.ID {
+			continue
+		}
+		o := c.suspects(k)
+		order := o.compare(s.evidence)
+		switch {
+		case len(o.parts) == 0 || order < 0:
+		case order > 0, len(o.parts) > len(s.parts) && containsAll(o.parts, s.parts):
+			return 0, true
+		case !slices.ContainsFunc(o.parts, func(p uint64) bool { return slices.Contains(s.parts, p) }):
+			rival = o.parts[0]
+		}
 	}
-	return parts, strongest.outages
+	return rival, false
 }
 
 // evidence returns what speaks against a part.
--- a/gate/process/policy/containment_test.go
+++ b/gate/process/policy/containment_test.go
@@ -251,3 +251,54 @@
 	}
 	g.Expect(c.Check(now.Add(time.Second), policy.Request{Parts: []uint64{200, crashing}}, alone).Contained).To(BeTrue())
 }
+
+// Guards against the refusal of a popular part because requests with it were at the
+// upstreams that another one crashed.
+func TestContainmentBesideHealthyRequests(t *testing.T) {
+	g := NewWithT(t)
+	var c policy.Containment
+	now := time.Now()
+	c.Success(now, popular)
+	now = now.Add(time.Second)
+	for i := range uint64(2) {
+		at := now.Add(time.Duration(i) * 4 * time.Second)
+		c.Observe(crashed(at, 1+i, popular, crashing))
+		c.Observe(crashed(at, 1+i, popular))
+	}
+	now = now.Add(5 * time.Second)
+	g.Expect(c.Check(now, policy.Request{Parts: []uint64{popular, crashing}}, alone).Contained).To(BeTrue())
+	g.Expect(c.Check(now, policy.Request{Parts: []uint64{popular}}, alone).Contained).To(BeFalse())
+}
+
+// Guards against the refusal of a part that is as unknown as the other parts of the
+// request that crashed the same upstream.
+func TestContainmentOfSharedUnknownPart(t *testing.T) {
+	g := NewWithT(t)
+	var c policy.Containment
+	now := time.Now()
+	c.Observe(crashed(now, 1, rare, crashing))
+	c.Observe(crashed(now, 1, rare))
+	g.Expect(c.Check(now, policy.Request{Parts: []uint64{rare, crashing}}, alone).Contained).To(BeTrue())
+	g.Expect(c.Check(now, policy.Request{Parts: []uint64{rare}}, alone).Contained).To(BeFalse())
+}
+
+// Guards against the refusal of a rare part, until it is tried again, because the upstream
+// that first got it crashed on a frequent one.
+func TestContainmentOfRivals(t *testing.T) {
+	g := NewWithT(t)
+	var c policy.Containment
+	now := time.Now()
+	c.Success(now, popular)
+	now = now.Add(time.Second)
+	c.Observe(crashed(now, 1, popular, crashing))
+	c.Observe(crashed(now, 1, rare))
+	for range 5 {
+		now = now.Add(time.Second)
+		g.Expect(c.Check(now, policy.Request{Parts: []uint64{popular, crashing}}, alone).Contained).To(BeTrue())
+	}
+	g.Expect(c.Check(now, policy.Request{Parts: []uint64{rare}}, alone).Trial).To(BeTrue())
+	g.Expect(c.Check(now, policy.Request{Parts: []uint64{rare}}, alone).Contained).To(BeTrue(), "a second trial at the same time")
+	c.Success(now, rare)
+	g.Expect(c.Check(now, policy.Request{Parts: []uint64{rare}}, alone).Contained).To(BeFalse())
+	g.Expect(c.Check(now, policy.Request{Parts: []uint64{crashing}}, alone).Contained).To(BeTrue())
+}
