Keep crashes of upstreams in the store, so that parts stay contained if all gates end

Cause: crashes were kept only in the memory of the gates. Class: state that must last is kept where nothing lasts.

Change: the leader saves the crashes with suspect parts and the successes of these parts in one object, by conditional writes and only if the suspicions have changed. Each gate reads it when it starts.

--- a/core/store.go
+++ b/core/store.go
@@ -25,6 +25,8 @@
 	KindLease Kind = "lease"
 	// KindMap holds the last committed expert map of each group.
 	KindMap Kind = "map"
+	// KindCrash holds a wire.CrashRecord, what gates know of crashes of upstreams.
+	KindCrash Kind = "crash"
 	// KindRoster is the instance list as one object. Instances send it to each
 	// other; it is never stored.
 	KindRoster Kind = "roster"
--- a/gate/process/ranks/leader.go
+++ b/gate/process/ranks/leader.go
@@ -68,6 +68,12 @@
 // SetGroups replaces the set of groups to balance.
 func (l *Leader) SetGroups(specs map[string]*GroupSpec) { l.specs.Store(&specs) }
 
+// Leading reports whether this gate leads the groups.
+func (l *Leader) Leading() bool {
+	_, ok := l.leaderToken()
+	return ok
+}
+
 // Run contends for the lease and balances the groups while it holds it, until
 // ctx ends. It returns after switches in progress have ended.
 func (l *Leader) Run(ctx context.Context) {
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -18,6 +18,7 @@
 	"parsleyroute.example/core/process/start"
 	"parsleyroute.example/core/wire"
 	"parsleyroute.example/gate/conn/inlet"
+	"parsleyroute.example/gate/process/crash"
 	"parsleyroute.example/gate/process/fleet"
 	"parsleyroute.example/gate/process/gossip"
 	"parsleyroute.example/gate/process/ranks"
@@ -58,6 +59,7 @@
 	relay    *relay.Relay
 	leader   *ranks.Leader
 	ranks    core.RankClient
+	crashes  *crash.Saver
 	callers  *inlet.Server
 	table    atomic.Pointer[route.Table]
 	synced   atomic.Bool
@@ -89,6 +91,7 @@
 	wg.Go(func() { g.runControlLoop(base) })
 	wg.Go(func() { g.register(base) })
 	wg.Go(func() { g.leader.Run(base) })
+	wg.Go(func() { g.crashes.Run(base) })
 	wg.Go(func() { g.pollStandingGroups(base) })
 	wg.Go(func() {
 		if err := g.gossip.Run(base); err != nil {
@@ -156,6 +159,10 @@
 		Contends: func() bool { return !g.draining.Load() && g.gossip.AmongLowestAddresses(maxContenders) },
 	}
 	g.leader.SetGroups(nil)
+	g.crashes = &crash.Saver{
+		Store: g.store, Containment: &g.relay.Containment, DecisionLog: g.DecisionLog, Instance: s.Instance,
+		IsWriter: g.leader.Leading, OnLearn: g.gossip.Announce,
+	}
 	g.callers = &inlet.Server{
 		Listen: s.Callers, Handler: g.relay, MaxConnections: s.Files / filesPerConnection,
 		Limits: func() core.CallerLimits {
