Forget the trials of parts that no crash has any more

Found by reading: what a gate had done about a suspect part was kept until no crash was known at all, so that it grew with each new part as long as one crash was always remembered.

--- a/gate/process/policy/containment.go
+++ b/gate/process/policy/containment.go
@@ -177,8 +177,10 @@
 	c.crashes = slices.DeleteFunc(c.crashes, func(k Crash) bool {
 		return now.Sub(k.At) > crashRetention || !c.hasSuspects(k)
 	})
-	if len(c.crashes) == 0 {
-		c.trials = nil
+	for part := range c.trials {
+		if !slices.ContainsFunc(c.crashes, func(k Crash) bool { return slices.Contains(k.Parts, part) }) {
+			delete(c.trials, part)
+		}
 	}
 }
 
