Find the probable causes of crashes after a change, not for each request

Found by reading: for each request that shared a part with a crash, all crashes were compared again, which takes milliseconds if there are many with many parts, and each response to such a part was announced to all gates for as long as the crash was remembered.

Change: the causes are computed after a crash, a success that clears a part, or the end of a crash. A success is announced if the part was suspect.

--- a/gate/process/policy/containment.go
+++ b/gate/process/policy/containment.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -29,11 +28,6 @@
 	trialSlot = 2 * time.Second
 	// crashRetention is how long a crash is remembered.
 	crashRetention = 2 * maxContainmentTime
-	// outageWindow is the time within which crashes are taken for one outage, such as
-	// the loss of a rack. massCrash is the number of upstreams that are lost in one
-	// outage for another cause than a request to be likely.
-	outageWindow = 500 * time.Millisecond
-	massCrash    = 4
 	// maxCrashes and maxCrashParts limit the crashes that are kept and the parts of
 	// each, maxSuccesses the successes in each of two maps.
 	maxCrashes    = 64
@@ -56,18 +50,25 @@
 // respond, while healthy requests share all other parts with those that crash.
 //
 // A part is cleared once an upstream has responded to a request with it after the crash.
-// Of the other parts of a crash, those that occur in most outages are suspect, among these
-// those without any earlier success, and among these those in most crashes. A request is contained if it has all suspect
-// parts of a crash: as long as two parts cannot be told apart, requests with only one of
-// them pass, and their result tells. A single crash contains only parts without any
-// success, since an upstream may crash for another reason while it responds to a
-// healthy request. After the containment time, or once the refusals have cost as much
-// as a crash, gates try the parts again, one after the other and with one request each.
+// Of the other parts of a crash, those that occur in most outages are suspect, among
+// these those without any earlier success, and among these those in most crashes. A
+// single outage makes only parts without any success suspect, since an upstream may
+// crash for another reason while it responds to a healthy request. If an upstream had
+// just begun to respond to several requests, only the most suspect parts count.
+//
+// A request is contained if it has all suspect parts of a crash: as long as two parts
+// cannot be told apart, requests with only one of them pass, and their result tells.
+// After the containment time, or once the refusals have cost as much as a crash, gates
+// try the parts again, one after the other and with one request each.
 //
 // The zero value is ready to use. It is safe for concurrent use.
 type Containment struct {
 	mu      sync.Mutex
 	crashes []Crash
+	// causes are the probable causes of the crashes. They are computed again after a
+	// change, if outdated is set.
+	causes   []cause
+	outdated bool
 	// successes holds the time of the last success of each part, and older the
 	// successes before the last time that the map was full.
 	successes, older map[uint64]time.Time
@@ -93,9 +94,10 @@
 func (c *Containment) Success(at time.Time, parts ...uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	news := false
+	wasSuspect := false
 	for _, p := range parts {
-		if !at.After(c.lastSuccess(p)) {
+		last := c.lastSuccess(p)
+		if !at.After(last) {
 			continue
 		}
 		if len(c.successes) >= maxSuccesses {
@@ -105,9 +107,12 @@
 			c.successes = map[uint64]time.Time{}
 		}
 		c.successes[p] = at
-		news = news || slices.ContainsFunc(c.crashes, func(k Crash) bool { return slices.Contains(k.Parts, p) })
+		wasSuspect = wasSuspect || slices.ContainsFunc(c.crashes, func(k Crash) bool {
+			return k.At.After(last) && slices.Contains(k.Parts, p)
+		})
 	}
-	return news
+	c.outdated = c.outdated || wasSuspect
+	return wasSuspect
 }
 
 // lastSuccess returns the time of the last success of a part, or the zero time.
@@ -137,6 +142,7 @@
 		c.crashes = slices.Delete(c.crashes, 0, 1)
 	}
 	c.crashes = append(c.crashes, crash)
+	c.outdated = true
 	return true
 }
 
@@ -174,9 +180,11 @@
 // forget drops the crashes that no longer contain requests: those whose parts are
 // all cleared and those that happened long ago.
 func (c *Containment) forget(now time.Time) {
+	n := len(c.crashes)
 	c.crashes = slices.DeleteFunc(c.crashes, func(k Crash) bool {
 		return now.Sub(k.At) > crashRetention || !c.hasSuspects(k)
 	})
+	c.outdated = c.outdated || len(c.crashes) < n
 	for part := range c.trials {
 		if !slices.ContainsFunc(c.crashes, func(k Crash) bool { return slices.Contains(k.Parts, part) }) {
 			delete(c.trials, part)
@@ -202,9 +210,7 @@
 	// Trial is set if the request is not contained so that its suspect parts are
 	// tried again.
 	Trial bool
-	// rival is a part of another request that may as well have caused the crash, or
-	// zero.
-	rival uint64
+	cause cause
 }
 
 // Position is the place of a gate in the order of all gates, in which they have their
@@ -232,23 +238,13 @@
 	if !r.Returned {
 		c.requests++
 	}
+	if c.outdated {
+		c.causes, c.outdated = c.findCauses(), false
+	}
 	var verdict Verdict
-	for _, crash := range c.crashes {
-		if !slices.ContainsFunc(crash.Parts, func(p uint64) bool { return slices.Contains(r.Parts, p) }) {
-			continue
-		}
-		s := c.suspects(crash)
-		if len(s.parts) == 0 || !containsAll(r.Parts, s.parts) {
-			continue
-		}
-		rival, explained := c.otherSuspect(crash, s)
-		if explained {
-			continue
-		}
-		part := s.parts[0]
-		until := c.lastCrash(part).Add(min(containmentTime<<min(s.outages-1, maxDoublings), maxContainmentTime))
-		if !verdict.Contained || until.After(verdict.Until) {
-			verdict = Verdict{Contained: true, Until: until, Part: part, Outages: s.outages, rival: rival}
+	for _, k := range c.causes {
+		if until := k.lastCrash.Add(k.containmentTime()); containsAll(r.Parts, k.parts) && until.After(verdict.Until) {
+			verdict = Verdict{Contained: true, Until: until, Part: k.parts[0], Outages: k.outages, cause: k}
 		}
 	}
 	if !verdict.Contained {
@@ -272,11 +268,11 @@
 	}
 	// A part that upstreams have not responded to because few requests have it is told
 	// from one that is new and frequent, and tried first.
-	if r := c.trials[v.rival]; r != nil && r.refused >= rivalFactor*max(1, t.refused) {
+	if r := c.trials[v.cause.rival]; r != nil && r.refused >= rivalFactor*max(1, t.refused) {
 		return true
 	}
 	isDue := !now.Before(v.Until) || c.refusedTime(now, t) >= outageTime<<min(v.Outages-1, maxDoublings)
-	return isDue && p.isTurn(now.Sub(c.lastCrash(v.Part)))
+	return isDue && p.isTurn(now.Sub(v.cause.lastCrash))
 }
 
 // trialOf returns what this gate has done about a suspect part since its last crash.
@@ -297,136 +293,3 @@
 	fraction := float64(t.refused) / float64(c.requests-t.requestsBefore+minRequests)
 	return time.Duration(fraction * float64(now.Sub(t.since)))
 }
-
-// evidence is what speaks against a part.
-type evidence struct {
-	// outages and upstreams count the crashes on requests with the part since its
-	// last success.
-	outages, upstreams int
-	// novel is set if no upstream has ever responded to the part.
-	novel bool
-}
-
-// compare returns a positive number if e is the stronger evidence, and a negative one if
-// o is.
-func (e evidence) compare(o evidence) int {
-	switch {
-	case e.outages != o.outages || e.novel == o.novel:
-		return cmp.Or(cmp.Compare(e.outages, o.outages), cmp.Compare(e.upstreams, o.upstreams))
-	case e.novel:
-		return 1
-	}
-	return -1
-}
-
-// suspicion is what a request is suspected of that was at an upstream when it crashed.
-type suspicion struct {
-	// parts are the parts that may have caused the crash, with the same evidence
-	// against each.
-	parts []uint64
-	evidence
-}
-
-// suspects returns the parts of a crash with the strongest evidence against them. It
-// returns none if the evidence does not suffice for containment.
-func (c *Containment) suspects(crash Crash) suspicion {
-	var s suspicion
-	for _, p := range crash.Parts {
-		if !crash.At.After(c.lastSuccess(p)) {
-			continue
-		}
-		e := c.evidence(p)
-		switch order := e.compare(s.evidence); {
-		case order < 0:
-			continue
-		case order > 0:
-			s = suspicion{evidence: e}
-		}
-		s.parts = append(s.parts, p)
-	}
-	if s.outages < 2 && (!s.novel || c.isMassCrash(crash, s.parts[0])) {
-		return suspicion{}
-	}
-	return s
-}
-
-// otherSuspect compares the suspicion of a request with those of the other requests that
-// the same upstream had just begun to respond to when it crashed. It reports whether one
-// of these explains the crash better: by stronger evidence, or by the same parts and
-// others, which fewer requests have. If one explains it as well by other parts, rival is
-// such a part.
-func (c *Containment) otherSuspect(crash Crash, s suspicion) (rival uint64, explained bool) {
-	for _, k := range c.crashes {
-		if k.Upstream != crash.Upstream || k.ID == crash.ID {
-			continue
-		}
-		o := c.suspects(k)
-		order := o.compare(s.evidence)
-		switch {
-		case len(o.parts) == 0 || order < 0:
-		case order > 0, len(o.parts) > len(s.parts) && containsAll(o.parts, s.parts):
-			return 0, true
-		case !slices.ContainsFunc(o.parts, func(p uint64) bool { return slices.Contains(s.parts, p) }):
-			rival = o.parts[0]
-		}
-	}
-	return rival, false
-}
-
-// evidence returns what speaks against a part.
-func (c *Containment) evidence(part uint64) evidence {
-	last := c.lastSuccess(part)
-	var crashed []time.Time
-	upstreams := map[uint64]bool{}
-	for _, k := range c.crashes {
-		if k.At.After(last) && slices.Contains(k.Parts, part) {
-			crashed = append(crashed, k.At)
-			upstreams[k.Upstream] = true
-		}
-	}
-	slices.SortFunc(crashed, time.Time.Compare)
-	e := evidence{upstreams: len(upstreams), novel: last.IsZero()}
-	var start time.Time
-	for _, at := range crashed {
-		if at.Sub(start) > outageWindow {
-			start = at
-			e.outages++
-		}
-	}
-	return e
-}
-
-// lastCrash returns the time of the last crash on a request with the part.
-func (c *Containment) lastCrash(part uint64) time.Time {
-	var last time.Time
-	for _, k := range c.crashes {
-		if slices.Contains(k.Parts, part) && k.At.After(last) {
-			last = k.At
-		}
-	}
-	return last
-}
-
-// isMassCrash reports whether so many upstreams were lost in the outage of a crash without
-// a request with the part that one part is not the likely cause.
-func (c *Containment) isMassCrash(crash Crash, part uint64) bool {
-	with, lost := map[uint64]bool{}, map[uint64]bool{}
-	for _, k := range c.crashes {
-		if k.At.Sub(crash.At).Abs() <= outageWindow {
-			lost[k.Upstream] = true
-			if slices.Contains(k.Parts, part) {
-				with[k.Upstream] = true
-			}
-		}
-	}
-	return len(lost) >= massCrash && len(with) < len(lost)
-}
-
-func containsAll(parts, wanted []uint64) bool {
-	for _, p := range wanted {
-		if !slices.Contains(parts, p) {
-			return false
-		}
-	}
-	return true
-}
