Add a failing test of a contained request that keeps its retry

A lost request takes a retry from the budget, is then found to be contained and answered 502; the retry stays counted. The next healthy request that is lost gets 502 where it could have been sent once more: one retry for each crash.

--- a/gate/request/relay/crash_test.go
+++ b/gate/request/relay/crash_test.go
@@ -35,6 +35,8 @@
 	minServed   = 0.8
 	prefixField = "X-Parsleyroute-Prefix-Hash"
 	crashPart   = "crash"
+	// lostPart is a part whose first request is lost without a response.
+	lostPart = "lost"
 )
 
 // crashSystem is the request path of a gate in front of workers that crash on a
@@ -48,8 +50,9 @@
 	mu      sync.Mutex
 	workers map[string]*worker.Worker
 	starts  int
-	// crashing counts the requests with crashPart that have reached a worker.
-	crashing int
+	// crashing counts the requests with crashPart that have reached a worker, and
+	// lost those with lostPart.
+	crashing, lost int
 }
 
 func startCrashSystem(t *testing.T, workers int) *crashSystem {
@@ -111,6 +114,10 @@
 	s.starts++
 	w := &worker.Worker{ID: fmt.Sprintf("i-%d", s.starts)}
 	w.Script = func(c *worker.Conn, a *worker.ReceivedRequest) {
+		if strings.Contains(a.Header.Get(prefixField), lostPart) && s.isFirstLost() {
+			c.Disconnect()
+			return
+		}
 		c.WriteStreamHeader(a)
 		if strings.Contains(a.Header.Get(prefixField), crashPart) {
 			s.crash(w)
@@ -127,6 +134,14 @@
 	s.workers[w.ID] = w
 }
 
+// isFirstLost reports whether this is the first request with lostPart.
+func (s *crashSystem) isFirstLost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost++
+	return s.lost == 1
+}
+
 // crash ends a worker and starts another process in its place.
 func (s *crashSystem) crash(w *worker.Worker) {
 	s.mu.Lock()
@@ -212,3 +227,17 @@
 	g.Expect(s.send(parts)).NotTo(Equal(http.StatusOK))
 	g.Expect(s.crashingRequests()).To(Equal(1))
 }
+
+// Guards against a retry that a contained request takes from the budget and does not make,
+// so that a healthy request does not get it.
+func TestContainedRequestReturnsRetry(t *testing.T) {
+	g := NewWithT(t)
+	s := startCrashSystem(t, 4)
+	s.relay.RetryLimits = relay.RetryLimits{Ratio: 0.3, Window: 30 * time.Second}
+	for i := range 3 {
+		g.Expect(s.send(fmt.Sprintf("f:40,%x:500", i))).To(Equal(http.StatusOK))
+	}
+	g.Expect(s.send("f:40," + crashPart + ":165,10:500")).NotTo(Equal(http.StatusOK))
+	g.Expect(s.crashingRequests()).To(Equal(1))
+	g.Expect(s.send("f:40," + lostPart + ":165,11:500")).To(Equal(http.StatusOK))
+}
