Return a retry that was taken but not sent

Callers got 502 for a lost healthy request after an earlier request had been contained before its retry: that one kept the retry that it had taken from the budget.

Cause: the retry was returned only if no upstream was found for it. It is now kept as reserved until it is sent, and returned before each error response and when the request ends, so that a request that could not be sent or that waited and was contained returns it too.

--- a/gate/request/relay/attempt.go
+++ b/gate/request/relay/attempt.go
@@ -112,6 +112,7 @@
 		t.sends--
 		return attemptResult{status: attemptUnsent, outcome: fleet.ConnectionLost, err: err}
 	}
+	t.retryReserved = false
 	var h fasthttp.ResponseHeader
 	w := t.startWatchdog(c, u)
 	info, res := t.receive(ctx, u, c, isNew, &h, w)
--- a/gate/request/relay/refuse.go
+++ b/gate/request/relay/refuse.go
@@ -100,6 +100,7 @@
 }
 
 func (t *transaction) respondError(status int, reason core.Reason, run core.Execution, message string, retryAfter time.Duration) {
+	t.returnUnsentRetry()
 	meter.Refusal(reason)
 	var body errorBody
 	body.Error.Reason, body.Error.Message, body.Error.Run = reason, message, run
--- a/gate/request/relay/transaction.go
+++ b/gate/request/relay/transaction.go
@@ -68,8 +68,7 @@
 	// mayHaveRun is set once an upstream may have started to run the request.
 	mayHaveRun bool
 	queueWait  time.Duration
-	// retryReserved is set between taking a retry from the budget and getting an
-	// upstream for it.
+	// retryReserved is set from taking a retry from the budget until it is sent.
 	retryReserved bool
 
 	stream streamState
@@ -95,6 +94,7 @@
 	t.stream.lastID, t.stream.hasLastID = t.info.LastEventID, t.info.HasLastEventID
 	ctx, cancel := context.WithDeadline(t.inbound.Context(), t.deadline)
 	defer cancel()
+	defer t.returnUnsentRetry()
 	t.parts = t.partKeys()
 	for {
 		if t.refuseContained(ctx) {
@@ -135,18 +135,21 @@
 	}
 	err := t.poolState.queue.Wait(ctx, item)
 	t.queueWait += time.Since(now)
-	reserved := t.retryReserved
-	t.retryReserved = false
 	if err == nil {
 		return u
 	}
-	if reserved {
-		t.poolState.budget.ReturnRetry()
-	}
 	t.respondUnavailable(ctx, err)
 	return nil
 }
 
+// returnUnsentRetry returns the retry that was taken from the budget but not sent.
+func (t *transaction) returnUnsentRetry() {
+	if t.retryReserved {
+		t.retryReserved = false
+		t.poolState.budget.ReturnRetry()
+	}
+}
+
 func (t *transaction) priority() int {
 	if t.team != nil && t.team.HasPriority {
 		return t.team.Priority
