Log why a call to the store failed and where a watch starts

The error now has its cause, and watch_started has the revision from which a gate watches and the one it knows.

--- a/core/conn/rest/client.go
+++ b/core/conn/rest/client.go
@@ -106,7 +106,7 @@
 			return res.err
 		}
 		if err := json.Unmarshal(res.body, out); err != nil {
-			return trace.ConnectionProblem(err, "the response to %s %s cannot be decoded", r.Method, r.Path)
+			return trace.ConnectionProblem(err, "the response to %s %s cannot be decoded: %s", r.Method, r.Path, err)
 		}
 		return nil
 	case <-ctx.Done():
@@ -131,7 +131,7 @@
 		req.SetBody(body)
 	}
 	if err := c.client.DoDeadline(req, resp, deadline); err != nil {
-		return nil, trace.ConnectionProblem(err, "%s %s failed", r.Method, r.Path)
+		return nil, trace.ConnectionProblem(err, "%s %s failed: %s", r.Method, r.Path, err)
 	}
 	if code := resp.StatusCode(); code/100 != 2 {
 		return nil, c.ParseError(code, resp.Body())
--- a/gate/process/view/follow.go
+++ b/gate/process/view/follow.go
@@ -47,12 +47,13 @@
 	var revision uint64
 	listed := false
 	backoff := minBackoff
-	failing := false
+	failing, paused := false, true
 	var lastWatch time.Time
 	lastResponse := time.Now()
 	for ctx.Err() == nil {
 		if listed && v.ShouldWatch != nil && !v.ShouldWatch() {
 			watching.Store(false)
+			paused = true
 			_ = clock.Real{}.Sleep(ctx, watchCheckInterval)
 			continue
 		}
@@ -65,6 +66,10 @@
 		} else {
 			var next uint64
 			watching.Store(!failing)
+			if paused {
+				paused = false
+				v.DecisionLog.Log("watch_started", "kind", kind, "from", revision, "known", v.knownRevision(kind), "unheard", time.Since(lastResponse))
+			}
 			// The delay lets one call return several changes.
 			_ = clock.Real{}.Sleep(ctx, minWatchInterval-time.Since(lastWatch))
 			wait := longPollWait - time.Duration(rand.Int64N(int64(longPollWait/4)))
--- a/gate/process/view/view.go
+++ b/gate/process/view/view.go
@@ -200,3 +200,13 @@
 	}
 	return nil
 }
+
+// knownRevision returns the revision of the kind in KnownRevisions.
+func (v *View) knownRevision(kind core.Kind) uint64 {
+	for _, k := range v.KnownRevisions() {
+		if k.GetKind() == string(kind) {
+			return k.GetRevision()
+		}
+	}
+	return 0
+}
