--- a/fakes/process/meta/meta.go
+++ b/fakes/process/meta/meta.go
@@ -30,6 +30,9 @@
 	// LoseWriteResponses executes writes and closes the connection without a
 	// response.
 	LoseWriteResponses bool
+	// LoseWatchResponses leaves watches without a response once there are changes.
+	// Their connections stay open.
+	LoseWatchResponses bool
 }
 
 // Server is the store. Its zero value is ready for Start.
@@ -249,6 +252,10 @@
 			// Close the connection of a waiting watch without a response.
 			panic(http.ErrAbortHandler)
 		}
+		if faults.LoseWatchResponses && len(events) > 0 {
+			<-r.Context().Done()
+			return
+		}
 		if len(events) > 0 || timedOut {
 			writeJSON(w, http.StatusOK, map[string]any{"events": events, "at": revision})
 			return
--- /dev/null
+++ b/gate/process/view/watch_test.go
@@ -0,0 +1,90 @@
+package view
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/core/wire"
+	"parsleyroute.example/fakes/process/meta"
+	"parsleyroute.example/platform"
+)
+
+// runView runs a view of the store until the end of the test. It returns the view and
+// the version of its configuration.
+func runView(t *testing.T, srv *meta.Server, shouldWatch func() bool) (*View, *atomic.Uint64) {
+	t.Helper()
+	var version atomic.Uint64
+	w := &View{
+		Store: platform.NewStore(srv.Addr()), Decoder: platform.Decoder{}, ShouldWatch: shouldWatch,
+		OnChange: func(s State) {
+			if s.Config != nil {
+				version.Store(s.Config.Version)
+			}
+		},
+		Pull: func(context.Context, netip.AddrPort, *wire.PullRequest) (*wire.PullResponse, error) {
+			return &wire.PullResponse{}, nil
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return w, &version
+}
+
+func startStore(t *testing.T) *meta.Server {
+	t.Helper()
+	srv := &meta.Server{}
+	if err := srv.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(srv.Close)
+	return srv
+}
+
+// Guards against a watch that waits for a response that was lost on a connection that lives on.
+func TestLostWatchResponse(t *testing.T) {
+	g := NewWithT(t)
+	srv := startStore(t)
+	srv.Put("config", "main", config(7))
+	w, version := runView(t, srv, nil)
+	g.Eventually(version.Load, "2s").Should(BeEquivalentTo(7))
+	g.Eventually(w.Watching, "2s").Should(BeTrue())
+	time.Sleep(2 * minWatchInterval) // until the watches wait at the store
+	srv.SetFaults(meta.Faults{LoseWatchResponses: true})
+	srv.Put("config", "main", config(9))
+	time.Sleep(minWatchInterval)
+	srv.SetFaults(meta.Faults{})
+	g.Eventually(version.Load, disturbanceTimeout).Should(BeEquivalentTo(9))
+}
+
+// Guards against gates that cannot begin to watch because the changes since their last
+// call, which they know from peers, exceed the size of a response.
+func TestWatchAfterManyLargeChanges(t *testing.T) {
+	g := NewWithT(t)
+	srv := startStore(t)
+	srv.PutRaw("config", "main", largeConfig(7))
+	var shouldWatch atomic.Bool
+	w, version := runView(t, srv, shouldWatch.Load)
+	g.Eventually(version.Load, "2s").Should(BeEquivalentTo(7))
+	g.Eventually(w.Watching, "2s").Should(BeFalse())
+	const versions = 40 // 14 MB
+	for i := range versions {
+		revision := srv.PutRaw("config", "main", largeConfig(8+i))
+		if i == versions-1 {
+			last := core.Object{Key: core.Key{Kind: core.KindConfig, Name: core.ActiveConfigName}, Version: revision, Value: largeConfig(8 + i)}
+			w.enqueue(context.Background(), func() { w.apply(core.KindConfig, []core.Object{last}, revision, false, "peer") })
+		}
+	}
+	g.Eventually(version.Load, "2s").Should(BeEquivalentTo(7 + versions))
+	shouldWatch.Store(true)
+	g.Eventually(w.Watching, "2s").Should(BeTrue())
+	srv.Put("config", "main", config(100))
+	g.Eventually(version.Load, applyTimeout).Should(BeEquivalentTo(100))
+}
