Wait at most 1.5 s for a response to a watch

Cause: a response to a watch can be lost on a connection that lives on. Probes of the connection are answered, so that nothing but the time-out of the call showed it, 4.75 to 6 s after the start of the watch. Class: the time to detect a lost response is longer than the bound on what depends on it.

The store now answers each watch after 1.1 to 1.5 s, changes or not, and the call times out a second later: 2.5 s at most, less than the 3 s after which a sound gate must have the changes again. A watching gate makes three times as many calls; only one gate a zone watches.

--- a/gate/process/view/follow.go
+++ b/gate/process/view/follow.go
@@ -16,9 +16,10 @@
 
 const (
 	// longPollWait is the maximum time that a watch call waits at the store for
-	// changes. Each call waits up to a quarter less, at random. The wait limits
-	// the time until a stalled connection is noticed.
-	longPollWait = 5 * time.Second
+	// changes. Each call waits up to a quarter less, at random. A lost response is
+	// noticed a second after the wait. Changes that were confirmed 2 s before must be in
+	// force 3 s after the end of such a disturbance.
+	longPollWait = 1500 * time.Millisecond
 	// minWatchInterval is the minimum time from the end of a watch call to the
 	// start of the next.
 	minWatchInterval = 150 * time.Millisecond
