Tell other gates that one watches only once the store has answered it

The first call of a watch, and each after a failed one, now returns at once, and the gate counts as watching from then on. After an outage it does so at once, no longer after the whole wait of a call (seen: 4 s).

--- a/gate/process/view/follow.go
+++ b/gate/process/view/follow.go
@@ -48,13 +48,13 @@
 	var revision uint64
 	listed := false
 	backoff := minBackoff
-	failing, paused := false, true
+	failing, resuming := false, false
 	var lastWatch time.Time
 	lastResponse := time.Now()
 	for ctx.Err() == nil {
 		if listed && v.ShouldWatch != nil && !v.ShouldWatch() {
 			watching.Store(false)
-			paused = true
+			resuming = true
 			_ = clock.Real{}.Sleep(ctx, watchCheckInterval)
 			continue
 		}
@@ -66,14 +66,16 @@
 			objects, revision, err = v.Store.ListKind(ctx, kind)
 		} else {
 			var next uint64
-			watching.Store(!failing)
-			if paused {
-				paused = false
-				v.DecisionLog.Log("watch_started", "kind", kind, "from", revision, "known", v.knownRevision(kind), "unheard", time.Since(lastResponse))
-			}
 			// The delay lets one call return several changes.
 			_ = clock.Real{}.Sleep(ctx, minWatchInterval-time.Since(lastWatch))
 			wait := longPollWait - time.Duration(rand.Int64N(int64(longPollWait/4)))
+			if failing || resuming {
+				// An immediate response shows other gates that this one watches.
+				wait = 0
+			}
+			if resuming && !failing {
+				v.DecisionLog.Log("watch_started", "kind", kind, "from", revision, "known", v.knownRevision(kind), "unheard", time.Since(lastResponse))
+			}
 			if objects, next, err = v.Store.WatchKind(ctx, kind, revision, wait); err == nil {
 				revision = next
 			}
@@ -102,7 +104,7 @@
 			v.DecisionLog.Log("store_regained", "kind", kind, "revision", revision, "unheard", time.Since(lastResponse))
 		}
 		lastResponse = time.Now()
-		listed, failing, backoff = true, false, minBackoff
+		listed, failing, resuming, backoff = true, false, false, minBackoff
 		watching.Store(true)
 		if complete || len(objects) > 0 {
 			upTo := revision
--- a/gate/process/view/watch_test.go
+++ b/gate/process/view/watch_test.go
@@ -88,3 +88,19 @@
 	srv.Put("config", "main", config(100))
 	g.Eventually(version.Load, applyTimeout).Should(BeEquivalentTo(100))
 }
+
+// Guards against other gates that rely on one that begins to watch while the store does not respond to it.
+func TestUnansweredWatchIsNotAnnounced(t *testing.T) {
+	g := NewWithT(t)
+	srv := startStore(t)
+	srv.Put("config", "main", config(7))
+	var shouldWatch atomic.Bool
+	w, version := runView(t, srv, shouldWatch.Load)
+	g.Eventually(version.Load, "2s").Should(BeEquivalentTo(7))
+	g.Eventually(w.Watching, "2s").Should(BeFalse())
+	srv.SetFaults(meta.Faults{Hang: true})
+	shouldWatch.Store(true)
+	g.Consistently(w.Watching, "1s", "10ms").Should(BeFalse())
+	srv.SetFaults(meta.Faults{})
+	g.Eventually(w.Watching, disturbanceTimeout).Should(BeTrue())
+}
