Watch the store from the revision that peers have sent

Cause: a gate that begins to watch asked for the changes since its own last call, although it had most of them from peers. The store returns each version in full; over 8 MB the response is refused, and each further call fails too ("body size exceeds the given limit"), on every gate of the zone in the same way, until the store drops that history. Class: a position that is kept apart from the state it belongs to.

A watch now begins at the latest revision that the gate knows.

--- a/gate/process/view/follow.go
+++ b/gate/process/view/follow.go
@@ -73,8 +73,14 @@
 				// An immediate response shows other gates that this one watches.
 				wait = 0
 			}
-			if resuming && !failing {
-				v.DecisionLog.Log("watch_started", "kind", kind, "from", revision, "known", v.knownRevision(kind), "unheard", time.Since(lastResponse))
+			if resuming {
+				// Peers have sent the changes meanwhile. All of them together may exceed the
+				// size of a response.
+				known := v.knownRevision(kind)
+				if !failing {
+					v.DecisionLog.Log("watch_started", "kind", kind, "from", revision, "known", known, "unheard", time.Since(lastResponse))
+				}
+				revision = max(revision, known)
 			}
 			if objects, next, err = v.Store.WatchKind(ctx, kind, revision, wait); err == nil {
 				revision = next
