Announce deletions that only a complete list shows

A zone that was taken back into use, or a worker whose entry was removed, while the gates that watch had lost the store's history stayed out of use, or in use, at all other gates until the next change of that kind.

Cause: a gate records such a deletion at the revision of the list, but announced the highest version of an object, so that peers took themselves to be up to date. The revision of the list is now announced.

--- a/gate/process/view/kind.go
+++ b/gate/process/view/kind.go
@@ -13,8 +13,8 @@
 	kind    core.Kind
 	objects map[string]core.Object
 	// revision is the highest version of a received object or change, or a higher
-	// revision that a peer has sent. All changes up to it are known. A deletion
-	// that only a complete list shows does not raise it.
+	// revision that a peer has sent or that a complete list with a deletion has. All
+	// changes up to it are known.
 	revision uint64
 	// synced is set once a complete list was applied.
 	synced bool
@@ -58,6 +58,7 @@
 		if !listed[name] && o.Version <= revision {
 			// The exact version of the deletion is unknown. It is at most revision.
 			k.recordDeletion(name, revision)
+			k.revision = max(k.revision, revision)
 			changed = append(changed, name)
 		}
 	}
--- a/gate/process/view/watch_test.go
+++ b/gate/process/view/watch_test.go
@@ -104,3 +104,35 @@
 	srv.SetFaults(meta.Faults{})
 	g.Eventually(w.Watching, disturbanceTimeout).Should(BeTrue())
 }
+
+// Guards against zones that stay out of use, and upstreams that stay in use, at gates whose peer
+// learned of the deletion from a complete list.
+func TestListedDeletionReachesPeers(t *testing.T) {
+	g := NewWithT(t)
+	srv := startStore(t)
+	srv.Put("config", "main", config(7))
+	srv.Put("evacuations", "z", map[string]any{})
+	peer, peerVersion := runView(t, srv, nil)
+	g.Eventually(peerVersion.Load, "2s").Should(BeEquivalentTo(7))
+	var zonesOut atomic.Int64
+	w := &View{
+		Store: platform.NewStore(srv.Addr()), Decoder: platform.Decoder{}, ShouldWatch: func() bool { return false },
+		OnChange: func(s State) { zonesOut.Store(int64(len(s.ZonesOut))) },
+		Pull: func(ctx context.Context, _ netip.AddrPort, r *wire.PullRequest) (*wire.PullResponse, error) {
+			return Server{View: peer}.Pull(ctx, r)
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	g.Eventually(zonesOut.Load, "2s").Should(BeEquivalentTo(1))
+	srv.SetFaults(meta.Faults{Status: 503})
+	srv.Remove("evacuations", "z")
+	srv.CompactHistory()
+	srv.SetFaults(meta.Faults{})
+	g.Eventually(func() int64 {
+		w.ObservePeer(ctx, netip.MustParseAddrPort("10.0.0.9:1"), peer.KnownRevisions())
+		return zonesOut.Load()
+	}, disturbanceTimeout, "50ms").Should(BeZero())
+}
