--- a/core/protocol.go
+++ b/core/protocol.go
@@ -56,6 +56,19 @@
 	// KeepAliveTimeout is how long the upstream keeps an idle connection open;
 	// zero if it is not given.
 	KeepAliveTimeout time.Duration
+	// RateLimit is the limit on requests that the response names.
+	RateLimit NamedRateLimit
+}
+
+// NamedRateLimit is the limit on requests that an upstream names in a response.
+type NamedRateLimit struct {
+	// Named is set if the response names a limit. PerSecond is the number of requests
+	// per second that the upstream takes from all gates together, at least zero and
+	// possibly infinite.
+	Named     bool
+	PerSecond float64
+	// Invalid is set if the response names only limits that are no number of requests.
+	Invalid bool
 }
 
 // AppendField appends a header field line to dst.
