--- a/fakes/process/worker/worker.go
+++ b/fakes/process/worker/worker.go
@@ -25,6 +25,7 @@
 	HeaderTeam           = "X-Parsleyroute-Tenant"
 	HeaderFailedUpstream = "At-Server"
 	HeaderLastEventID    = "Last-Event-Id"
+	HeaderServerLimit    = "Server-Limit"
 )
 
 // Script responds to one request.
@@ -38,6 +39,7 @@
 
 	ln       net.Listener
 	mu       sync.Mutex
+	limit    string
 	requests []*ReceivedRequest
 	conns    map[net.Conn]bool
 	wg       sync.WaitGroup
@@ -106,6 +108,23 @@
 	w.Script = s
 }
 
+// SetLimit changes the limit that later responses name; an empty one is not named.
+func (w *Worker) SetLimit(limit string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = limit
+}
+
+// limitField returns the header field line that names the limit, if there is one.
+func (w *Worker) limitField() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.limit == "" {
+		return ""
+	}
+	return HeaderServerLimit + ": " + w.limit + "\r\n"
+}
+
 // Requests returns copies of the requests received so far.
 func (w *Worker) Requests() []ReceivedRequest {
 	w.mu.Lock()
@@ -147,25 +166,25 @@
 
 // WriteResponse writes a complete response with the worker's signature.
 func (c *Conn) WriteResponse(req *ReceivedRequest, status int, body string) {
-	c.Printf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: sig-%s\r\nContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), HeaderAttemptID, req.AttemptID, HeaderSignature, c.worker.ID, len(body), body)
+	c.Printf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: sig-%s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), HeaderAttemptID, req.AttemptID, HeaderSignature, c.worker.ID, c.worker.limitField(), len(body), body)
 }
 
 // WriteNotExecuted writes a response that states that the request was not
 // executed. failedUpstream may be empty.
 func (c *Conn) WriteNotExecuted(req *ReceivedRequest, status int, failedUpstream string) {
-	failedHeader := ""
+	extraHeader := c.worker.limitField()
 	if failedUpstream != "" {
-		failedHeader = HeaderFailedUpstream + ": " + failedUpstream + "\r\n"
+		extraHeader += HeaderFailedUpstream + ": " + failedUpstream + "\r\n"
 	}
 	c.Printf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n",
-		status, http.StatusText(status), HeaderAttemptID, req.AttemptID, HeaderNotExecuted, failedHeader)
+		status, http.StatusText(status), HeaderAttemptID, req.AttemptID, HeaderNotExecuted, extraHeader)
 }
 
 // WriteStreamHeader writes the header of a chunked event stream.
 func (c *Conn) WriteStreamHeader(req *ReceivedRequest) {
-	c.Printf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		HeaderAttemptID, req.AttemptID, HeaderSignature, c.worker.ID)
+	c.Printf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig-%s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		HeaderAttemptID, req.AttemptID, HeaderSignature, c.worker.ID, c.worker.limitField())
 }
 
 // WriteEvent writes one event of a stream as a chunk.
