Keep the limits on requests that upstreams name, over all gates together

Cause: nothing read the limit. Class: a bound on all gates together that no gate knows or has a share of.

Change: a gate records the limit of each response and reports it in its heartbeats, at once if it is new or much lower. All gates share a quota of whole requests in a window of at least 4 s: each gets an equal part, and the rest goes to the first in an order of the gates that differs between upstreams, so that a limit of 1 a second is shared by four of 40 gates. A gate gains a share only after a window, when the gates change and when it has just started, and loses one at once. An ended limit, or one that no response has confirmed for 10 s, is given up over 3 s. Requests that get a share within their deadline wait for it; the others are refused at once (reason limited) with the time of their turn. The quota of cold upstreams uses the same shares instead of a random choice of gates, which used three quarters of the allowed rate.

--- a/core/errors.go
+++ b/core/errors.go
@@ -51,6 +51,7 @@
 	ReasonOperatorUnverified Reason = "operator_unverified"
 	ReasonConflict           Reason = "conflict"
 	ReasonContained          Reason = "contained"
+	ReasonLimited            Reason = "limited"
 )
 
 // Refusal is the error of a request that gets no response from an upstream.
--- a/fakes/soak/soak_test.go
+++ b/fakes/soak/soak_test.go
@@ -127,7 +127,7 @@
 func (s *system) injectFault(rng *rand.Rand) {
 	g := s.gates[rng.IntN(len(s.gates))]
 	w := s.workers[rng.IntN(len(s.workers))]
-	switch rng.IntN(12) {
+	switch rng.IntN(13) {
 	case 0:
 		s.restartGate(g, syscall.SIGTERM, rng.IntN(3) == 0)
 	case 1:
@@ -154,6 +154,8 @@
 		s.setLink(w, proxy.Fault{})
 	case 11:
 		s.configure("/a/", fmt.Sprintf("/x%d/", rng.IntN(3)))
+	case 12:
+		w.SetLimit([]string{"", "2", "20", "1e999", "-1", "x"}[rng.IntN(6)])
 	}
 }
 
@@ -185,6 +187,7 @@
 func (s *system) clearFaults() {
 	s.faults.level.Store(0)
 	for _, w := range s.workers {
+		w.SetLimit("")
 		s.setLink(w, proxy.Fault{})
 	}
 	s.store.SetFaults(meta.Faults{})
--- a/gate/process/fleet/fleet.go
+++ b/gate/process/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/evlog"
 	"parsleyroute.example/gate/conn/outlet"
+	"parsleyroute.example/gate/process/policy"
 )
 
 // ColdLimit is the platform's limit on the request rate to a cold upstream.
@@ -26,11 +27,9 @@
 	// coldRateMargin is the fraction of the allowed rate to cold upstreams that is
 	// used. The rest absorbs bursts that form between gate and upstream.
 	coldRateMargin = 0.8
-	// sparseRateMargin is applied in addition to coldRateMargin where the rate is
-	// below one request per second for each gate. A hash then selects the gates that
-	// send to an upstream, so their number varies: with 36 gates and an allowed
-	// rate of 26, the mean number is 3.5 standard deviations below that rate.
-	sparseRateMargin = 0.75
+	// coldWindow is the sliding window in which the requests to a cold upstream
+	// are counted. Limits on them are per second.
+	coldWindow = time.Second
 )
 
 // zoneReturnCold is how long the upstreams of a zone count as cold after the zone
@@ -44,10 +43,16 @@
 	// OnLoadChange, if set, is called when a request of this gate starts or ends
 	// at an upstream.
 	OnLoadChange func()
+	// OnLimitDrop, if set, is called when a response to this gate names a limit and the
+	// upstream had none, or a much higher one.
+	OnLimitDrop func()
 
 	snapshot atomic.Pointer[Snapshot]
 	// gateCount is the number of gates that may be sending requests.
 	gateCount atomic.Int64
+	// shareFrom is the time of the first call of SetMembers.
+	shareFrom time.Time
+	members   policy.Members
 	groups    groups
 	// gapMeters maps the name of a pool to its *gapMeter, gapLimits to the
 	// time.Duration that the gap between two events of a stream may last.
@@ -80,21 +85,6 @@
 	return &Snapshot{}
 }
 
-// SetGateCount sets the number of gates that may be sending requests. They share
-// the request rate of cold upstreams and the connections of each upstream. Only
-// the control goroutine may call it.
-func (f *Fleet) SetGateCount(n int) {
-	if f.gateCount.Swap(int64(max(1, n))) == int64(max(1, n)) {
-		return
-	}
-	for _, u := range f.upstreams {
-		u.Conns.SetMaxConnections(f.maxConnections(u.Entry().Pool))
-	}
-}
-
-// GateCount returns the number of gates that may be sending requests.
-func (f *Fleet) GateCount() int { return int(max(1, f.gateCount.Load())) }
-
 // Update replaces the entries of the upstreams, the zones that operators have
 // taken out of use and the configuration. Only the control goroutine may call it.
 func (f *Fleet) Update(now time.Time, entries map[string]*core.ListedUpstream, zonesOut map[string]bool, config *core.Config) {
@@ -136,6 +126,8 @@
 	u := f.upstreams[id]
 	if u == nil {
 		u = newUpstream(entry, &outlet.Pool{Addr: entry.Addr})
+		u.shares = policy.NewShareHistory(f.shareFrom)
+		f.updateShares(now, u)
 		u.Conns.SetMaxConnections(f.maxConnections(entry.Pool))
 		f.upstreams[id] = u
 		f.DecisionLog.Log("upstream_listed", "upstream", id, "pool", entry.Pool, "address", entry.Addr, "zone", entry.Zone, "draining", entry.Draining, "cold", entry.ColdDuration)
--- a/gate/process/fleet/fleet_test.go
+++ b/gate/process/fleet/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/gate/process/fleet"
+	"parsleyroute.example/gate/process/policy"
 )
 
 // newPicker returns a picker for a pool with n upstreams, their entries, which
@@ -30,6 +31,18 @@
 	return &fleet.Picker{Fleet: f, Zone: "z"}, entries, config
 }
 
+// setMembers makes the picker's gate the one with the given index among n gates, all of
+// which have been running for long.
+func setMembers(p *fleet.Picker, n, index int) {
+	m := policy.Members{Own: uint64(index + 1)}
+	for i := range n {
+		if i != index {
+			m.Others = append(m.Others, uint64(i+1))
+		}
+	}
+	p.Fleet.SetMembers(time.Now().Add(-time.Minute), m)
+}
+
 // TestPickBalances guards against upstreams that get more requests than others
 // or than their capacity.
 func TestPickBalances(t *testing.T) {
@@ -67,7 +80,7 @@
 	g := NewWithT(t)
 	pool := &core.PoolConfig{Name: "p", ColdRate: 36}
 	p, _, config := newPicker(1, pool, func(_ int, entry *core.ListedUpstream) { entry.ColdDuration, entry.MaxSequences = 3*time.Second, 1000 })
-	p.Fleet.SetGateCount(4)
+	setMembers(p, 4, 0)
 	now := time.Now()
 	n := 0
 	for p.Pick(now, config.Pools["p"], nil) != nil {
@@ -94,8 +107,7 @@
 	now := time.Now()
 	for i := range gates {
 		p, _, _ := newPicker(upstreams, pool, func(_ int, entry *core.ListedUpstream) { entry.ColdDuration, entry.MaxSequences = 3*time.Second, 1000 })
-		p.Fleet.SetGateCount(gates)
-		p.GateKey = uint64(i + 1)
+		setMembers(p, gates, i)
 		n := 0
 		for u := p.Pick(now, pool, nil); u != nil; u = p.Pick(now, pool, nil) {
 			received[u.ID]++
@@ -119,7 +131,7 @@
 	t.Cleanup(func() { _ = l.Close() })
 	pool := &core.PoolConfig{Name: "p", MaxConnections: 40}
 	p, _, _ := newPicker(1, pool, func(_ int, entry *core.ListedUpstream) { entry.Addr = netip.MustParseAddrPort(l.Addr().String()) })
-	p.Fleet.SetGateCount(4)
+	setMembers(p, 4, 0)
 	conns := p.Fleet.Snapshot().ByID["i-0"].Conns
 	n := 0
 	for ; n < 40; n++ {
@@ -380,3 +392,39 @@
 	}
 	g.Expect(n).To(BeNumerically(">=", 4*12))
 }
+
+// TestLimits guards against limits of a former process that are applied to the present
+// one, and against limits from other gates that replace newer ones.
+func TestLimits(t *testing.T) {
+	g := NewWithT(t)
+	p, entries, config := newPicker(1, &core.PoolConfig{Name: "p"}, func(_ int, entry *core.ListedUpstream) { entry.StartTime, entry.MaxSequences = 5, 1000 })
+	setMembers(p, 4, 0)
+	now := time.Now()
+	u := p.Fleet.Snapshot().ByID["i-0"]
+	learn := func(startTime int64, perSecond float64, at time.Time) {
+		p.Fleet.LearnLimits(now, []fleet.UpstreamLimit{{Key: u.Key, StartTime: startTime, PerSecond: perSecond, At: at}})
+	}
+	learn(4, 1, now)
+	g.Expect(p.PoolState(now, config.Pools["p"])).To(Equal(fleet.PoolAvailable), "a limit of a former process")
+	learn(5, 1, now.Add(-time.Second))
+	g.Expect(p.PoolState(now, config.Pools["p"])).To(Equal(fleet.PoolLimited))
+	g.Expect(p.Pick(now, config.Pools["p"], nil)).To(BeNil())
+	share, ok := p.NextShare(now, config.Pools["p"], 0)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(share.HasShare).To(BeTrue())
+	g.Expect(share.Share.Count).To(Equal(1), "a quarter of 4 requests in 4 s")
+	g.Expect(p.Pick(share.At, config.Pools["p"], nil)).To(Equal(u))
+	g.Expect(p.Pick(share.At.Add(3900*time.Millisecond), config.Pools["p"], nil)).To(BeNil())
+	g.Expect(p.Fleet.LocalLimits()).To(BeEmpty(), "what other gates have told is not passed on")
+
+	p.Fleet.ObserveLimit(now, u, 8)
+	learn(5, 1, now.Add(-time.Second))
+	share, _ = p.NextShare(now, config.Pools["p"], 0)
+	g.Expect(share.Limit).To(BeEquivalentTo(8), "an older limit from another gate")
+	g.Expect(p.Fleet.LocalLimits()).To(HaveLen(1))
+
+	restarted := *entries["i-0"]
+	restarted.StartTime = 6
+	p.Fleet.Update(now, map[string]*core.ListedUpstream{"i-0": &restarted}, nil, config)
+	g.Expect(p.PoolState(now, config.Pools["p"])).To(Equal(fleet.PoolAvailable), "another process with the same id")
+}
--- a/gate/process/fleet/pick.go
+++ b/gate/process/fleet/pick.go
@@ -1,13 +1,11 @@
 package fleet
 
 import (
-	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
 	"parsleyroute.example/core"
@@ -39,9 +37,6 @@
 	Fleet *Fleet
 	// Zone is the gate's own zone.
 	Zone string
-	// GateKey is a number that differs between gates. It determines the cold
-	// upstreams that this gate sends to if the rate is too low for all gates.
-	GateKey uint64
 }
 
 // Pick returns the upstream of the pool with the lowest score of load, failure
@@ -54,7 +49,7 @@
 		if u == nil {
 			return nil
 		}
-		if u.admitCold(now, p.coldAllowance(u, pool)) {
+		if u.take(now, p.Fleet.coldQuota(pool)) {
 			p.Fleet.BeginRequest(u)
 			p.Fleet.recordTrial(now, u)
 			return u
@@ -64,40 +59,17 @@
 	return nil
 }
 
-// coldAllowance returns the requests per second that this gate may send to the
-// upstream while it is cold. If the allowed rate is below one request per second
-// for each gate, only some of the gates send to the upstream, a different subset
-// of them for each upstream.
-func (p *Picker) coldAllowance(u *Upstream, pool *core.PoolConfig) int {
-	limit := p.Fleet.ColdLimit
-	rate := (pool.ColdRate*limit.Overshoot + limit.Slack) * coldRateMargin / float64(p.Fleet.GateCount())
-	if rate >= 1 {
-		return int(rate)
-	}
-	if hashFraction(p.GateKey, u.Key) < rate*sparseRateMargin {
-		return 1
-	}
-	return 0
-}
-
-// hashFraction hashes the two keys to a number in [0, 1).
-func hashFraction(a, b uint64) float64 {
-	var buf [16]byte
-	binary.LittleEndian.PutUint64(buf[:8], a)
-	binary.LittleEndian.PutUint64(buf[8:], b)
-	return float64(xxhash.Sum64(buf[:])>>11) / (1 << 53)
-}
-
 // bestCandidate returns the available upstream with the lowest score, or nil.
 func (p *Picker) bestCandidate(now time.Time, pool *core.PoolConfig, upstreams, excluded []*Upstream) *Upstream {
 	var best *Upstream
 	bestScore := math.Inf(1)
 	capacity := p.capacityFunc(now, pool, upstreams)
+	cold := p.Fleet.coldQuota(pool)
 	// A random start balances the choice between upstreams with equal scores.
 	start := rand.IntN(max(1, len(upstreams)))
 	for i := range upstreams {
 		u := upstreams[(start+i)%len(upstreams)]
-		if slices.Contains(excluded, u) || u.unavailable(now) || u.Load() >= capacity(u) || !p.Fleet.admitsRequests(u) {
+		if slices.Contains(excluded, u) || u.unavailable(now) || u.Load() >= capacity(u) || !p.Fleet.admitsRequests(u) || u.free(now, cold) == 0 {
 			continue
 		}
 		score := (float64(u.Load()) + 1) * (1 + failureWeight*u.FailureRate(now)) * u.Slowdown()
@@ -146,6 +118,9 @@
 const (
 	// PoolAvailable: at least one upstream has free capacity.
 	PoolAvailable PoolState = iota
+	// PoolLimited: limits hold requests back from each available upstream that has
+	// free capacity.
+	PoolLimited
 	// PoolFull: no available upstream has free capacity.
 	PoolFull
 	// PoolDown: no upstream is available.
@@ -153,19 +128,24 @@
 )
 
 // PoolState returns whether the pool has an available upstream and, if so,
-// whether one of them has free capacity.
+// whether one of them has free capacity that limits do not hold back.
 func (p *Picker) PoolState(now time.Time, pool *core.PoolConfig) PoolState {
 	state := PoolDown
 	upstreams := p.Fleet.Snapshot().Pools[pool.Name]
 	capacity := p.capacityFunc(now, pool, upstreams)
+	cold := p.Fleet.coldQuota(pool)
 	for _, u := range upstreams {
 		if u.unavailable(now) || !p.Fleet.admitsRequests(u) {
 			continue
 		}
-		if u.Load() < capacity(u) {
+		switch {
+		case u.Load() >= capacity(u):
+			state = min(state, PoolFull)
+		case u.free(now, cold) > 0:
 			return PoolAvailable
+		default:
+			state = PoolLimited
 		}
-		state = PoolFull
 	}
 	return state
 }
--- a/gate/process/fleet/upstream.go
+++ b/gate/process/fleet/upstream.go
@@ -10,6 +10,7 @@
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/gate/conn/outlet"
+	"parsleyroute.example/gate/process/policy"
 )
 
 // Outcome is the result of a request as evidence of the upstream's health.
@@ -41,9 +42,6 @@
 	// minBackoff and maxBackoff limit the backoff time, which doubles each time.
 	minBackoff = 400 * time.Millisecond
 	maxBackoff = 3200 * time.Millisecond
-	// coldWindow is the sliding window in which the requests to a cold upstream
-	// are counted. Limits on them are per second.
-	coldWindow = time.Second
 )
 
 // processStart has a monotonic clock reading. Times that are stored as durations
@@ -91,10 +89,17 @@
 	decayedAt         time.Time
 	consecutiveLosses int
 	backoff           time.Duration
-	// The upstream is cold until coldUntil. coldRequests holds the times of the
-	// requests in the last coldWindow.
-	coldUntil    time.Time
-	coldRequests []time.Time
+	// The upstream is cold until coldUntil.
+	coldUntil time.Time
+	// limit is the limit that the upstream names, from the responses to all gates, and
+	// ownLimit the same from the responses to this gate.
+	limit, ownLimit policy.RateLimit
+	// shares determines this gate's part of the quotas of the upstream, and sends holds
+	// the times of its requests while there is a quota. limited is set while the limit
+	// is one of them.
+	shares  policy.ShareHistory
+	sends   policy.SendLog
+	limited bool
 }
 
 func newUpstream(entry *core.ListedUpstream, conns *outlet.Pool) *Upstream {
@@ -189,26 +194,3 @@
 	defer u.mu.Unlock()
 	return now.Before(u.coldUntil)
 }
-
-// admitCold reports whether a request may be sent to the upstream. While the
-// upstream is cold, it counts the request and admits at most limit of them in any
-// coldWindow.
-func (u *Upstream) admitCold(now time.Time, limit int) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !now.Before(u.coldUntil) {
-		return true
-	}
-	kept := u.coldRequests[:0]
-	for _, t := range u.coldRequests {
-		if now.Sub(t) < coldWindow {
-			kept = append(kept, t)
-		}
-	}
-	u.coldRequests = kept
-	if len(u.coldRequests) >= limit {
-		return false
-	}
-	u.coldRequests = append(u.coldRequests, now)
-	return true
-}
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -73,6 +73,8 @@
 	// Progress returns what this gate has seen of the rank groups, by the hash of
 	// the group's name. It may be nil.
 	Progress func() map[uint64]fleet.GroupProgress
+	// Limits returns the limits that upstreams have named to this gate. It may be nil.
+	Limits func() []fleet.UpstreamLimit
 	// Containment holds the crashes of upstreams that this gate knows. It may be nil.
 	Containment *policy.Containment
 	// KnownRevisions returns the revisions of the store that this gate knows.
@@ -96,8 +98,8 @@
 	// watchersMissingSince is when ShouldWatch first found too few watchers, or
 	// zero if there are enough.
 	watchersMissingSince time.Time
-	// registeredGates is the number of gates that have registered in the store.
-	registeredGates int
+	// registeredGates holds the names of the gates that have registered in the store.
+	registeredGates []string
 }
 
 // Run exchanges heartbeats until ctx ends.
@@ -204,6 +206,7 @@
 	}
 	// Map iteration order is random, so the omitted loads vary between heartbeats.
 	b.Loads = b.Loads[:min(len(b.Loads), maxLoads)]
+	g.addLimits(b)
 	g.addCrashes(b)
 	recipients, live := g.selectPeers(sequence, maxPeers)
 	b.Peers = live
--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"net"
 	"net/netip"
@@ -14,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"parsleyroute.example/core/wire"
+	"parsleyroute.example/gate/process/fleet"
 	"parsleyroute.example/gate/process/gossip"
 )
 
@@ -267,7 +269,11 @@
 	g.Expect(a.GateCount()).To(Equal(8), "before the first heartbeat")
 	startGossip(t, a)
 	g.Expect(a.GateCount()).To(Equal(8))
-	a.SetRegisteredGates(36)
+	names := []string{"a"}
+	for i := range 35 {
+		names = append(names, fmt.Sprintf("other-%d", i))
+	}
+	a.SetRegisteredGates(names)
 	g.Expect(a.GateCount()).To(Equal(36))
 	g.Eventually(a.GateCount, "4s").Should(Equal(1))
 }
@@ -329,3 +335,43 @@
 	g.Expect(b.AmongLowestAddresses(2)).To(BeFalse())
 	g.Eventually(func() bool { return b.AmongLowestAddresses(2) }, "1s").Should(BeTrue())
 }
+
+// Guards against gates that do not learn within half a second of a limit that an upstream
+// has named to another one, and against an ended limit that comes back from a third one.
+func TestLimitsReachOtherGates(t *testing.T) {
+	g := NewWithT(t)
+	a, b, c := newGossip(t, "a"), newGossip(t, "bb"), newGossip(t, "ccc")
+	b.Seeds, c.Seeds = append(b.Seeds, a.Listen), append(c.Seeds, a.Listen)
+	var limit atomic.Pointer[fleet.UpstreamLimit]
+	a.Limits = func() []fleet.UpstreamLimit {
+		if l := limit.Load(); l != nil {
+			return []fleet.UpstreamLimit{*l}
+		}
+		return nil
+	}
+	for _, gate := range []*gossip.Gossip{a, b, c} {
+		startGossip(t, gate)
+	}
+	g.Eventually(func() int { return c.GateCount() }, "5s").Should(Equal(3))
+	learned := func(gate *gossip.Gossip) func() []float64 {
+		return func() []float64 {
+			rates := []float64{}
+			for _, l := range gate.RemoteLimits() {
+				rates = append(rates, l.PerSecond)
+			}
+			return rates
+		}
+	}
+	limit.Store(&fleet.UpstreamLimit{Key: 7, StartTime: 3, PerSecond: 1.5, At: time.Now()})
+	a.Announce()
+	g.Eventually(learned(b), "500ms", "10ms").Should(Equal([]float64{1.5}))
+	g.Eventually(learned(c), "500ms", "10ms").Should(Equal([]float64{1.5}))
+	l := c.RemoteLimits()[0]
+	g.Expect(l.Key).To(BeEquivalentTo(7))
+	g.Expect(l.StartTime).To(BeEquivalentTo(3))
+	g.Expect(l.At).To(BeTemporally("~", limit.Load().At, 100*time.Millisecond))
+	limit.Store(&fleet.UpstreamLimit{Key: 7, StartTime: 3, PerSecond: math.Inf(1), At: time.Now()})
+	g.Eventually(learned(b), "500ms", "10ms").Should(Equal([]float64{math.Inf(1)}))
+	limit.Store(nil)
+	g.Eventually(learned(b), "500ms", "10ms").Should(BeEmpty())
+}
--- a/gate/process/gossip/peers.go
+++ b/gate/process/gossip/peers.go
@@ -2,10 +2,14 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"parsleyroute.example/core/wire"
 	"parsleyroute.example/gate/process/fleet"
+	"parsleyroute.example/gate/process/policy"
 )
 
 const (
@@ -170,28 +174,43 @@
 
 // GateCount returns the number of gates that may be sending requests, including
 // this one.
-func (g *Gossip) GateCount() int {
+func (g *Gossip) GateCount() int { return g.Members().Count() }
+
+// Members returns the gates that may be sending requests, by the hashes of their names.
+func (g *Gossip) Members() policy.Members {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := 1
+	m := policy.Members{Own: xxhash.Sum64String(g.Instance)}
+	add := func(instance string) {
+		if instance != g.Instance {
+			m.Others = append(m.Others, xxhash.Sum64String(instance))
+		}
+	}
 	for _, p := range g.peers {
 		if p.heartbeat != nil {
-			n++
+			add(p.heartbeat.GetInstance())
+		}
+	}
+	starting := g.started.IsZero() || time.Since(g.started) < startupPeriod
+	if starting {
+		for _, name := range g.registeredGates {
+			add(name)
 		}
 	}
-	if g.started.IsZero() || time.Since(g.started) < startupPeriod {
-		n = max(n, minStartupGates, g.registeredGates)
+	slices.Sort(m.Others)
+	m.Others = slices.Compact(m.Others)
+	for unknown := uint64(1); starting && m.Count() < minStartupGates; unknown++ {
+		m.Others = append(m.Others, unknown)
 	}
-	return n
+	return m
 }
 
-// SetRegisteredGates sets the number of gates that have ever registered in the
-// store. GateCount returns at least this number during startupPeriod, since all
-// gates may have started together.
-func (g *Gossip) SetRegisteredGates(n int) {
+// SetRegisteredGates sets the names of the gates that have ever registered in the
+// store. They count during startupPeriod, since all gates may have started together.
+func (g *Gossip) SetRegisteredGates(names []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.registeredGates = n
+	g.registeredGates = names
 }
 
 // AmongLowestAddresses reports whether fewer than n live gates that are not
--- a/gate/process/policy/shortage.go
+++ b/gate/process/policy/shortage.go
@@ -49,3 +49,33 @@
 	spread := 1 + returnSpread*(2*rand.Float64()-1)
 	return max(0, min(time.Duration(spread*float64(expected)), left/returnDivisor))
 }
+
+// ReturnSchedule gives callers that were refused because of limits the times at which
+// they come back, one after the other at the rate that the limits allow, so that those
+// refused first come back first and not all at once. The zero value is ready to use. It
+// is safe for concurrent use.
+type ReturnSchedule struct {
+	mu sync.Mutex
+	// last is the latest time that was given.
+	last time.Time
+}
+
+// Next returns the time after which a refused caller is to come back. at is when its
+// request could be sent if nobody else was refused, interval the time between two
+// requests, and left the time that the caller has left.
+func (s *ReturnSchedule) Next(now, at time.Time, interval, left time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if next := s.last.Add(interval); next.After(at) {
+		at = next
+	}
+	longest := max(0, left/returnDivisor)
+	wait := max(at.Sub(now), minReturn)
+	if wait > longest {
+		// Callers that cannot wait for their turn come back as late as they can, and
+		// do not move the turns of others.
+		return time.Duration((1 - returnSpread*rand.Float64()) * float64(longest))
+	}
+	s.last = at
+	return wait
+}
--- a/gate/request/relay/answer.go
+++ b/gate/request/relay/answer.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -49,9 +48,7 @@
 	if err != nil {
 		return info, attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err}
 	}
-	if l := info.RateLimit; l.Named || l.Invalid {
-		t.log("limit_named", "upstream", u.ID, "limit", min(l.PerSecond, math.MaxFloat32), "invalid", l.Invalid, "status", h.StatusCode())
-	}
+	t.observeLimit(u, h, info)
 	if t.inbound.HeaderWritten() && !info.NotExecuted && !t.continuesStream(h, info) {
 		return info, attemptResult{status: attemptFailed, outcome: fleet.Failed, err: trace.BadParameter("the response does not continue the stream: status %d", h.StatusCode())}
 	}
--- a/gate/request/relay/limit_test.go
+++ b/gate/request/relay/limit_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -168,3 +170,99 @@
 	}
 	g.Expect(mostInSpan(s.workers[0])).To(BeNumerically("<=", limitFactor*limitSpan.Seconds()+limitSlack))
 }
+
+// Guards against requests that wait for a share which they cannot get in time, and against
+// refusals although one can be had in time.
+func TestAllUpstreamsLimited(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := startLimitSystem(t, "1", "2")
+	s.send(t, 20, 500*time.Millisecond)
+	before := s.received()
+	served := 0
+	var waits []time.Duration
+	for _, r := range s.send(t, 20, 6*time.Second) {
+		switch r.status {
+		case http.StatusOK:
+			served++
+		case http.StatusServiceUnavailable:
+			g.Expect(strconv.ParseFloat(r.retryAfter, 64)).To(BeNumerically(">", 0))
+			waits = append(waits, r.took)
+		default:
+			t.Errorf("status %d", r.status)
+		}
+	}
+	g.Expect(s.received()-before).To(Equal(served), "a refused request must not have run")
+	g.Expect(served).To(BeNumerically(">=", 14), "3 requests a second are allowed")
+	for _, w := range s.workers {
+		g.Expect(mostInSpan(w)).To(BeNumerically("<=", 2*limitFactor*limitSpan.Seconds()+limitSlack))
+	}
+	slices.Sort(waits)
+	g.Expect(waits[len(waits)*9/10]).To(BeNumerically("<", 100*time.Millisecond), "what cannot be served is refused at once")
+}
+
+// Guards against an upstream that gets no more requests after its limit has ended, and
+// against all waiting requests being sent to it at once.
+func TestLimitEnds(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := startLimitSystem(t, "0.5", "")
+	s.send(t, 20, 5*time.Second)
+	s.workers[0].SetLimit("")
+	ended := time.Now()
+	for _, r := range s.send(t, 20, 12*time.Second) {
+		g.Expect(r.status).To(Equal(http.StatusOK))
+	}
+	var after []time.Duration
+	for _, r := range s.workers[0].Requests() {
+		if r.ReceivedAt.After(ended) {
+			after = append(after, r.ReceivedAt.Sub(ended))
+		}
+	}
+	g.Expect(len(after)).To(BeNumerically(">", 40), "half of 20 requests a second, once the end is known")
+	// The first response without a limit shows that it has ended.
+	inFirstSecond := 0
+	for _, at := range after {
+		if at-after[0] < time.Second {
+			inFirstSecond++
+		}
+	}
+	g.Expect(inFirstSecond).To(BeNumerically("<=", 0.5*limitFactor*limitSpan.Seconds()+limitSlack))
+}
+
+// Guards against limits in refusals, on the head of a stream and in responses that break
+// off being ignored, and against a refusal without one being taken for its end.
+func TestLimitOfIncompleteResponses(t *testing.T) {
+	t.Parallel()
+	for name, script := range map[string]worker.Script{
+		"refusal": func(c *worker.Conn, req *worker.ReceivedRequest) {
+			c.WriteNotExecuted(req, http.StatusServiceUnavailable, "")
+		},
+		"stream head": func(c *worker.Conn, req *worker.ReceivedRequest) {
+			c.WriteStreamHeader(req)
+			c.WriteChunk("x")
+			c.EndStream()
+		},
+		"break": func(c *worker.Conn, req *worker.ReceivedRequest) {
+			c.Printf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n%s: 0.5\r\nContent-Length: 9\r\n\r\nx", worker.HeaderAttemptID, req.AttemptID, worker.HeaderSignature, worker.HeaderServerLimit)
+			c.Reset()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			s := startLimitSystem(t, "0.5", "")
+			s.workers[0].SetScript(script)
+			s.send(t, 20, 6*time.Second)
+			g.Expect(mostInSpan(s.workers[0])).To(BeNumerically("<=", 0.5*limitFactor*limitSpan.Seconds()+limitSlack))
+		})
+	}
+}
+
+func (s *limitSystem) received() int {
+	n := 0
+	for _, w := range s.workers {
+		n += len(w.Requests())
+	}
+	return n
+}
--- a/gate/request/relay/refuse.go
+++ b/gate/request/relay/refuse.go
@@ -29,8 +29,14 @@
 	}
 	reason, message := core.ReasonNoSlot, "all slots of the service are in use, and none becomes free in time"
 	refusal, ok := core.AsRefusal(err)
+	now := time.Now()
+	state := t.relay.Picker.PoolState(now, t.pool)
+	share, limited := t.relay.Picker.NextShare(now, t.pool, t.poolState.queue.Len())
+	limited = limited && state == fleet.PoolLimited && !t.timedOut(ctx)
 	switch {
-	case t.relay.Picker.PoolState(time.Now(), t.pool) == fleet.PoolDown:
+	case limited:
+		reason, message = core.ReasonLimited, "all upstreams of the service get as many requests as they take"
+	case state == fleet.PoolDown:
 		reason, message = core.ReasonNoUpstream, "no upstream of the service is in use"
 	case t.timedOut(ctx):
 		reason, message = core.ReasonDeadline, "the deadline passed before a slot became free"
@@ -41,6 +47,10 @@
 		t.fail(ctx, reason, "no upstream is available for a retry")
 		return
 	}
+	if limited {
+		t.refuseLimited(now, share, message)
+		return
+	}
 	t.refuseShortage(reason, message)
 }
 
@@ -116,8 +126,11 @@
 		header = append(header, "\r\n"...)
 	}
 	// Also logged for 502 and 504, when the request may have run; see "run".
-	t.log("refused", "status", status, "reason", string(reason), "run", string(run), "retry_after", retryAfter,
-		"sends", t.sends, "waited", t.queueWait, "message", message)
+	fields := []any{
+		"status", status, "reason", string(reason), "run", string(run), "retry_after", retryAfter,
+		"sends", t.sends, "waited", t.queueWait, "message", message,
+	}
+	t.log("refused", append(fields, t.refusalDetails...)...)
 	if err := t.inbound.Respond(status, header, data); err != nil {
 		t.log("caller_lost", "error", err)
 	}
--- a/gate/request/relay/relay.go
+++ b/gate/request/relay/relay.go
@@ -62,6 +62,8 @@
 	budget   *RetryBudget
 	silence  *policy.Silence
 	shortage policy.Shortage
+	// returns schedules the callers that were refused because of limits.
+	returns policy.ReturnSchedule
 	// downSince is the start of the current outage, in nanoseconds since
 	// processStart. It is zero if the last request found the pool up.
 	downSince atomic.Int64
--- a/gate/request/relay/transaction.go
+++ b/gate/request/relay/transaction.go
@@ -71,6 +71,9 @@
 	// retryReserved is set from taking a retry from the budget until it is sent.
 	retryReserved bool
 
+	// refusalDetails holds further fields for the log line of a refusal.
+	refusalDetails []any
+
 	stream streamState
 	// errorResponse is an upstream's error response. It is forwarded if no retry
 	// succeeds.
@@ -120,7 +123,11 @@
 func (t *transaction) acquire(ctx context.Context) *fleet.Upstream {
 	var u *fleet.Upstream
 	now := time.Now()
-	waitUntil := t.queueDeadline(now)
+	waitUntil, ok := t.awaitShare(now, t.queueDeadline(now))
+	if !ok {
+		t.respondUnavailable(ctx, nil)
+		return nil
+	}
 	// The queue serves higher priorities first, but 0 is the most urgent priority
 	// of a route or team.
 	item := &admit.Item{
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -80,7 +80,7 @@
 // runControlLoop keeps the fleet up to date with the state of the store and the
 // loads by other gates.
 func (g *Gate) runControlLoop(ctx context.Context) {
-	g.fleet.SetGateCount(g.gossip.GateCount())
+	g.fleet.SetMembers(time.Now(), g.gossip.Members())
 	tick := time.NewTicker(controlInterval)
 	defer tick.Stop()
 	var lastSweep, lastUpdate time.Time
@@ -89,6 +89,7 @@
 		maps.Copy(slowdowns, g.slowRanks())
 		g.fleet.UpdateRemoteLoads(g.gossip.RemoteLoads(), slowdowns, g.gossip.RemoteSilent())
 		lastUpdate = time.Now()
+		g.fleet.LearnLimits(lastUpdate, g.gossip.RemoteLimits())
 	}
 	for {
 		select {
@@ -103,7 +104,7 @@
 				updateLoads()
 			}
 		case now := <-tick.C:
-			g.fleet.SetGateCount(g.gossip.GateCount())
+			g.fleet.SetMembers(now, g.gossip.Members())
 			updateLoads()
 			g.fleet.CheckGroups(now, g.gossip.RemoteProgress())
 			g.fleet.CheckSilence(now)
@@ -238,7 +239,11 @@
 		Key:    core.Key{Kind: core.KindInstance, Name: g.Settings.Instance},
 		Writer: g.Settings.Instance, Value: []byte(g.Settings.Peers.String()),
 	}
-	g.gossip.SetRegisteredGates(len(list))
+	names := make([]string, len(list))
+	for i, o := range list {
+		names[i] = o.Name
+	}
+	g.gossip.SetRegisteredGates(names)
 	write := g.store.Create
 	for _, o := range list {
 		if o.Name == own.Name {
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/conn/server"
 	"parsleyroute.example/core/process/evlog"
@@ -123,7 +121,7 @@
 	g.store = platform.NewStore(s.Store)
 	g.fleet = &fleet.Fleet{
 		ColdLimit:   fleet.ColdLimit{Overshoot: s.Cold.Overshoot, Slack: s.Cold.Slack},
-		DecisionLog: g.DecisionLog, OnLoadChange: func() { g.gossip.LoadChanged() },
+		DecisionLog: g.DecisionLog, OnLoadChange: func() { g.gossip.LoadChanged() }, OnLimitDrop: func() { g.gossip.Announce() },
 	}
 	g.view = &view.View{
 		Store: g.store, Decoder: platform.Decoder{}, DecisionLog: g.DecisionLog,
@@ -133,7 +131,7 @@
 	}
 	g.gossip = &gossip.Gossip{
 		Listen: s.Peers, Seeds: s.Seeds, Instance: s.Instance, Zone: s.Zone, Incarnation: start.Incarnation(),
-		DecisionLog: g.DecisionLog, Loads: g.fleet.LocalLoads, Progress: g.fleet.LocalProgress, Silent: g.fleet.LocalSilent, Slowdowns: g.slowRanks, KnownRevisions: g.view.KnownRevisions, Leaving: g.draining.Load, Watching: g.view.Watching,
+		DecisionLog: g.DecisionLog, Loads: g.fleet.LocalLoads, Progress: g.fleet.LocalProgress, Silent: g.fleet.LocalSilent, Limits: g.fleet.LocalLimits, Slowdowns: g.slowRanks, KnownRevisions: g.view.KnownRevisions, Leaving: g.draining.Load, Watching: g.view.Watching,
 		OnHeartbeat: func(addr netip.AddrPort, b *wire.Beat) {
 			g.view.ObservePeer(base, addr, b.GetKnown())
 			select {
@@ -144,7 +142,7 @@
 	}
 	g.relay = &relay.Relay{
 		Protocol: platform.Protocol{}, Table: g.table.Load, DecisionLog: g.DecisionLog,
-		Picker:      &fleet.Picker{Fleet: g.fleet, Zone: s.Zone, GateKey: xxhash.Sum64String(s.Instance)},
+		Picker:      &fleet.Picker{Fleet: g.fleet, Zone: s.Zone},
 		RetryLimits: relay.RetryLimits{Ratio: s.Retry.Ratio, Burst: s.Retry.Burst, Window: s.Retry.Window.Duration},
 	}
 	g.relay.OnContainmentChange, g.relay.Position = g.gossip.Announce, g.gossip.Position
