--- a/gate/process/view/follow.go
+++ b/gate/process/view/follow.go
@@ -92,7 +92,7 @@
 			return
 		case trace.IsCompareFailed(err):
 			listed = false
-			v.DecisionLog.Log("history_lost", "kind", kind, "revision", revision)
+			v.DecisionLog.Log("history_lost", "kind", kind, "revision", revision, "error", err)
 			continue
 		case err != nil:
 			if !failing {
--- a/gate/process/view/watch_test.go
+++ b/gate/process/view/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -136,3 +137,26 @@
 		return zonesOut.Load()
 	}, disturbanceTimeout, "50ms").Should(BeZero())
 }
+
+// Guards against a gate that stops following the store because a large entry of another
+// writer changes so often that the changes exceed the size of a response.
+func TestWatchOfTooManyChanges(t *testing.T) {
+	g := NewWithT(t)
+	srv := startStore(t)
+	srv.Put("config", "main", config(7))
+	w, version := runView(t, srv, nil)
+	g.Eventually(version.Load, "2s").Should(BeEquivalentTo(7))
+	g.Eventually(w.Watching, "2s").Should(BeTrue())
+	deep := strings.Repeat("[", 500_000) + strings.Repeat("]", 500_000)
+	srv.SetFaults(meta.Faults{Status: 503})
+	for range 12 { // 12 MB
+		srv.PutOdd("servers", "odd", deep)
+	}
+	srv.Put("servers", "sound", entry("ready"))
+	srv.SetFaults(meta.Faults{})
+	known := func() uint64 { return w.knownRevision(core.KindListedUpstream) }
+	g.Eventually(known, disturbanceTimeout).Should(BeEquivalentTo(14))
+	g.Eventually(w.Watching, "2s").Should(BeTrue())
+	srv.Put("servers", "sound", entry("draining"))
+	g.Eventually(known, applyTimeout).Should(BeEquivalentTo(15))
+}
