Bound what a gate passes on while it shuts down by what is left of its grace

Report of other operators: in a planned stop, requests that came late in the grace were passed on and cut with no answer at its end, among them some that may run only once (LOST).

It could happen here: a gate accepts requests for 3.2 s (or half of its grace) after SIGTERM with their whole deadline, and closed the connections of those that still ran half a second before the end of the grace.

A request whose deadline lies beyond that time is now refused at once (503, reason draining, not run) if it may run only once or has less than half of its time left; otherwise its deadline, also the one that the worker gets, is the end of the shutdown. What is still in flight a quarter of a second before the connections close is given up with its final response.

--- a/gate/request/relay/limit_test.go
+++ b/gate/request/relay/limit_test.go
@@ -36,6 +36,7 @@
 // limitSystem is the request path of a gate in front of workers that name limits.
 type limitSystem struct {
 	server  *inlet.Server
+	relay   *relay.Relay
 	fleet   *fleet.Fleet
 	workers []*worker.Worker
 }
@@ -73,6 +74,7 @@
 		Picker:      &fleet.Picker{Fleet: s.fleet, Zone: "z"},
 		RetryLimits: relay.RetryLimits{Ratio: 1, Burst: 10, Window: 10 * time.Second},
 	}
+	s.relay = r
 	s.server = &inlet.Server{
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Handler: r,
 		Limits: func() core.CallerLimits { return config.Limits },
--- a/gate/request/relay/relay.go
+++ b/gate/request/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"runtime/debug"
 	"sync"
@@ -50,6 +51,12 @@
 	// seen).
 	LongOutage time.Duration
 
+	// drainUntil is the end of the gate's shutdown, nil while it does not shut down.
+	drainUntil   atomic.Pointer[time.Time]
+	shutdownOnce sync.Once
+	shutdown     context.Context
+	giveUp       context.CancelFunc
+
 	mu    sync.Mutex
 	pools map[string]*poolState
 }
--- a/gate/request/relay/transaction.go
+++ b/gate/request/relay/transaction.go
@@ -92,10 +92,13 @@
 		t.deadline = t.start.Add(d)
 	}
 	t.deadline = t.deadline.Add(-responseMargin)
+	if t.refuseDraining() {
+		return
+	}
 	t.poolState = t.relay.pool(t.pool.Name)
 	t.poolState.budget.RecordFirstAttempt(t.start)
 	t.stream.lastID, t.stream.hasLastID = t.info.LastEventID, t.info.HasLastEventID
-	ctx, cancel := context.WithDeadline(t.inbound.Context(), t.deadline)
+	ctx, cancel := t.requestContext()
 	defer cancel()
 	defer t.returnUnsentRetry()
 	t.parts = t.partKeys()
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -34,6 +34,9 @@
 	// graceMargin is the part of the grace time that is left after the wait for
 	// requests in flight.
 	graceMargin = 500 * time.Millisecond
+	// answerMargin is the part before it in which requests that have not ended get their
+	// final response.
+	answerMargin = 250 * time.Millisecond
 	// maxContenders is the number of gates that contend for the leader's lease.
 	// Each of them calls the store about once a second.
 	maxContenders = 2
@@ -172,14 +175,15 @@
 	}
 }
 
-// drain fails the readiness checks, continues to accept requests until the
-// platform's load balancer has detected that, and then waits for the requests
-// in flight.
+// drain fails the readiness checks, continues to accept requests that end within
+// the grace until the platform's load balancer has detected that, and then waits
+// for the requests in flight.
 func (g *Gate) drain() error {
 	g.draining.Store(true)
 	g.callers.Drain()
 	grace := g.Settings.Grace.Duration - graceMargin
 	g.DecisionLog.Log("draining", "active", g.callers.Active(), "grace", grace)
+	g.relay.Drain(time.Now().Add(grace - answerMargin))
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	select {
