Bound the number of limits in a heartbeat

A gate that knew the limits of some 300 upstreams would send no heartbeats at all: the datagram was larger than 8 KB and only loads were left out. At most 100 limits are told now, others each time.

TestHeartbeatWithManyLimits failed before and passes.

--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -73,7 +73,8 @@
 	// Progress returns what this gate has seen of the rank groups, by the hash of
 	// the group's name. It may be nil.
 	Progress func() map[uint64]fleet.GroupProgress
-	// Limits returns the limits that upstreams have named to this gate. It may be nil.
+	// Limits returns the limits that upstreams have named to this gate, in random order.
+	// It may be nil.
 	Limits func() []fleet.UpstreamLimit
 	// Containment holds the crashes of upstreams that this gate knows. It may be nil.
 	Containment *policy.Containment
@@ -211,9 +212,13 @@
 	recipients, live := g.selectPeers(sequence, maxPeers)
 	b.Peers = live
 	data, err := proto.Marshal(b)
-	for err == nil && len(data) > maxDatagramBytes && len(b.Loads) > 0 {
-		// Crashes and progress take precedence over loads.
-		b.Loads = b.Loads[:len(b.Loads)/2]
+	for err == nil && len(data) > maxDatagramBytes && len(b.Loads)+len(b.Limits) > 0 {
+		// Crashes, progress and limits take precedence over loads.
+		if len(b.Loads) > 0 {
+			b.Loads = b.Loads[:len(b.Loads)/2]
+		} else {
+			b.Limits = b.Limits[:len(b.Limits)/2]
+		}
 		data, err = proto.Marshal(b)
 	}
 	if err != nil || len(data) > maxDatagramBytes {
--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -375,3 +375,26 @@
 	limit.Store(nil)
 	g.Eventually(learned(b), "500ms", "10ms").Should(BeEmpty())
 }
+
+// Guards against heartbeats that are never sent because many limits make them too large.
+func TestHeartbeatWithManyLimits(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newGossip(t, "a"), newGossip(t, "bb")
+	b.Seeds = append(b.Seeds, a.Listen)
+	limits := make([]fleet.UpstreamLimit, 600)
+	for i := range limits {
+		limits[i] = fleet.UpstreamLimit{Key: math.MaxUint64 - uint64(i), StartTime: math.MaxInt64, PerSecond: 1.5, At: time.Now().Add(-time.Hour)}
+	}
+	a.Limits = func() []fleet.UpstreamLimit { return limits }
+	a.Loads = func() map[uint64]int {
+		loads := map[uint64]int{}
+		for i := range uint64(400) {
+			loads[i<<40] = 1000
+		}
+		return loads
+	}
+	startGossip(t, a)
+	startGossip(t, b)
+	g.Eventually(func() int { return len(b.RemoteLimits()) }, "3s").Should(BeNumerically(">=", 100))
+	g.Eventually(func() int { return len(b.RemoteLoads()) }, "3s").Should(BeNumerically(">", 0))
+}
--- a/gate/process/gossip/limits.go
+++ b/gate/process/gossip/limits.go
@@ -8,7 +8,11 @@
 	"parsleyroute.example/gate/process/fleet"
 )
 
-// addLimits adds the limits that upstreams have named to this gate to a heartbeat.
+// maxReportedLimits limits the size of a heartbeat. A limit takes up to 30 bytes. A gate
+// with ten requests per second has responses from as many upstreams while a limit counts.
+const maxReportedLimits = 100
+
+// addLimits adds limits that upstreams have named to this gate to a heartbeat.
 // Gates do not pass on what others have told them, since the ages would become
 // inaccurate and an ended limit could come back.
 func (g *Gossip) addLimits(b *wire.Beat) {
@@ -22,6 +26,10 @@
 			m.Rate = &l.PerSecond
 		}
 		b.Limits = append(b.Limits, m)
+		if len(b.Limits) == maxReportedLimits {
+			// The order is random, so the omitted ones vary between heartbeats.
+			return
+		}
 	}
 }
 
