Do not wait for a share of an upstream that the request has tried

A retry whose only other upstream with a limit was the one that had failed would wait until its deadline for a share that it may not use. Found by reading; TestLimits checks it.

--- a/gate/process/fleet/fleet_test.go
+++ b/gate/process/fleet/fleet_test.go
@@ -409,7 +409,7 @@
 	learn(5, 1, now.Add(-time.Second))
 	g.Expect(p.PoolState(now, config.Pools["p"])).To(Equal(fleet.PoolLimited))
 	g.Expect(p.Pick(now, config.Pools["p"], nil)).To(BeNil())
-	share, ok := p.NextShare(now, config.Pools["p"], 0)
+	share, ok := p.NextShare(now, config.Pools["p"], nil, 0)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(share.HasShare).To(BeTrue())
 	g.Expect(share.Share.Count).To(Equal(1), "a quarter of 4 requests in 4 s")
@@ -419,8 +419,10 @@
 
 	p.Fleet.ObserveLimit(now, u, 8)
 	learn(5, 1, now.Add(-time.Second))
-	share, _ = p.NextShare(now, config.Pools["p"], 0)
+	share, _ = p.NextShare(now, config.Pools["p"], nil, 0)
 	g.Expect(share.Limit).To(BeEquivalentTo(8), "an older limit from another gate")
+	_, ok = p.NextShare(now, config.Pools["p"], []*fleet.Upstream{u}, 0)
+	g.Expect(ok).To(BeFalse(), "an upstream that the request has tried")
 	g.Expect(p.Fleet.LocalLimits()).To(HaveLen(1))
 
 	restarted := *entries["i-0"]
--- a/gate/process/fleet/share.go
+++ b/gate/process/fleet/share.go
@@ -124,15 +124,15 @@
 }
 
 // NextShare returns when this gate may send another request to the pool after the given
-// number of others, if upstreams have free slots and only their limits hold requests
-// back.
-func (p *Picker) NextShare(now time.Time, pool *core.PoolConfig, ahead int) (s NextShare, ok bool) {
+// number of others, if upstreams that are not excluded have free slots and only their
+// limits hold requests back.
+func (p *Picker) NextShare(now time.Time, pool *core.PoolConfig, excluded []*Upstream, ahead int) (s NextShare, ok bool) {
 	upstreams := p.Fleet.Snapshot().Pools[pool.Name]
 	capacity := p.capacityFunc(now, pool, upstreams)
 	var times, own []time.Time
 	ownRate, totalRate := 0.0, 0.0
 	for _, u := range upstreams {
-		if u.unavailable(now) || u.Load() >= capacity(u) || !p.Fleet.admitsRequests(u) {
+		if slices.Contains(excluded, u) || u.unavailable(now) || u.Load() >= capacity(u) || !p.Fleet.admitsRequests(u) {
 			continue
 		}
 		u.mu.Lock()
--- a/gate/request/relay/limit.go
+++ b/gate/request/relay/limit.go
@@ -47,7 +47,7 @@
 	if state != fleet.PoolLimited && state != fleet.PoolFull {
 		return until, true
 	}
-	share, ok := t.relay.Picker.NextShare(now, t.pool, t.poolState.queue.Len())
+	share, ok := t.relay.Picker.NextShare(now, t.pool, t.tried, t.poolState.queue.Len())
 	if !ok {
 		return until, true
 	}
--- a/gate/request/relay/refuse.go
+++ b/gate/request/relay/refuse.go
@@ -31,7 +31,7 @@
 	refusal, ok := core.AsRefusal(err)
 	now := time.Now()
 	state := t.relay.Picker.PoolState(now, t.pool)
-	share, limited := t.relay.Picker.NextShare(now, t.pool, t.poolState.queue.Len())
+	share, limited := t.relay.Picker.NextShare(now, t.pool, t.tried, t.poolState.queue.Len())
 	limited = limited && state == fleet.PoolLimited && !t.timedOut(ctx)
 	switch {
 	case limited:
