--- a/gate/process/view/watch_test.go
+++ b/gate/process/view/watch_test.go
@@ -16,27 +16,34 @@
 	"parsleyroute.example/platform"
 )
 
-// runView runs a view of the store until the end of the test. It returns the view and
-// the version of its configuration.
-func runView(t *testing.T, srv *meta.Server, shouldWatch func() bool) (*View, *atomic.Uint64) {
+// pullFunc is View.Pull.
+type pullFunc func(ctx context.Context, addr netip.AddrPort, r *wire.PullRequest) (*wire.PullResponse, error)
+
+func pullNothing(context.Context, netip.AddrPort, *wire.PullRequest) (*wire.PullResponse, error) {
+	return &wire.PullResponse{}, nil
+}
+
+// published is what a view has published last.
+type published struct{ version, zonesOut atomic.Uint64 }
+
+// runView runs a view of the store until the end of the test.
+func runView(t *testing.T, srv *meta.Server, shouldWatch func() bool, pull pullFunc) (*View, *published) {
 	t.Helper()
-	var version atomic.Uint64
+	var p published
 	w := &View{
-		Store: platform.NewStore(srv.Addr()), Decoder: platform.Decoder{}, ShouldWatch: shouldWatch,
+		Store: platform.NewStore(srv.Addr()), Decoder: platform.Decoder{}, ShouldWatch: shouldWatch, Pull: pull,
 		OnChange: func(s State) {
 			if s.Config != nil {
-				version.Store(s.Config.Version)
+				p.version.Store(s.Config.Version)
 			}
-		},
-		Pull: func(context.Context, netip.AddrPort, *wire.PullRequest) (*wire.PullResponse, error) {
-			return &wire.PullResponse{}, nil
+			p.zonesOut.Store(uint64(len(s.ZonesOut)))
 		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); w.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return w, &version
+	return w, &p
 }
 
 func startStore(t *testing.T) *meta.Server {
@@ -54,15 +61,15 @@
 	g := NewWithT(t)
 	srv := startStore(t)
 	srv.Put("config", "main", config(7))
-	w, version := runView(t, srv, nil)
-	g.Eventually(version.Load, "2s").Should(BeEquivalentTo(7))
+	w, last := runView(t, srv, nil, pullNothing)
+	g.Eventually(last.version.Load, "2s").Should(BeEquivalentTo(7))
 	g.Eventually(w.Watching, "2s").Should(BeTrue())
 	time.Sleep(2 * minWatchInterval) // until the watches wait at the store
 	srv.SetFaults(meta.Faults{LoseWatchResponses: true})
 	srv.Put("config", "main", config(9))
 	time.Sleep(minWatchInterval)
 	srv.SetFaults(meta.Faults{})
-	g.Eventually(version.Load, disturbanceTimeout).Should(BeEquivalentTo(9))
+	g.Eventually(last.version.Load, disturbanceTimeout).Should(BeEquivalentTo(9))
 }
 
 // Guards against gates that cannot begin to watch because the changes since their last
@@ -72,8 +79,8 @@
 	srv := startStore(t)
 	srv.PutRaw("config", "main", largeConfig(7))
 	var shouldWatch atomic.Bool
-	w, version := runView(t, srv, shouldWatch.Load)
-	g.Eventually(version.Load, "2s").Should(BeEquivalentTo(7))
+	w, last := runView(t, srv, shouldWatch.Load, pullNothing)
+	g.Eventually(last.version.Load, "2s").Should(BeEquivalentTo(7))
 	g.Eventually(w.Watching, "2s").Should(BeFalse())
 	const versions = 40 // 14 MB
 	for i := range versions {
@@ -83,11 +90,11 @@
 			w.enqueue(context.Background(), func() { w.apply(core.KindConfig, []core.Object{last}, revision, false, "peer") })
 		}
 	}
-	g.Eventually(version.Load, "2s").Should(BeEquivalentTo(7 + versions))
+	g.Eventually(last.version.Load, "2s").Should(BeEquivalentTo(7 + versions))
 	shouldWatch.Store(true)
 	g.Eventually(w.Watching, "2s").Should(BeTrue())
 	srv.Put("config", "main", config(100))
-	g.Eventually(version.Load, applyTimeout).Should(BeEquivalentTo(100))
+	g.Eventually(last.version.Load, applyTimeout).Should(BeEquivalentTo(100))
 }
 
 // Guards against other gates that rely on one that begins to watch while the store does not respond to it.
@@ -96,8 +103,8 @@
 	srv := startStore(t)
 	srv.Put("config", "main", config(7))
 	var shouldWatch atomic.Bool
-	w, version := runView(t, srv, shouldWatch.Load)
-	g.Eventually(version.Load, "2s").Should(BeEquivalentTo(7))
+	w, last := runView(t, srv, shouldWatch.Load, pullNothing)
+	g.Eventually(last.version.Load, "2s").Should(BeEquivalentTo(7))
 	g.Eventually(w.Watching, "2s").Should(BeFalse())
 	srv.SetFaults(meta.Faults{Hang: true})
 	shouldWatch.Store(true)
@@ -113,28 +120,19 @@
 	srv := startStore(t)
 	srv.Put("config", "main", config(7))
 	srv.Put("evacuations", "z", map[string]any{})
-	peer, peerVersion := runView(t, srv, nil)
-	g.Eventually(peerVersion.Load, "2s").Should(BeEquivalentTo(7))
-	var zonesOut atomic.Int64
-	w := &View{
-		Store: platform.NewStore(srv.Addr()), Decoder: platform.Decoder{}, ShouldWatch: func() bool { return false },
-		OnChange: func(s State) { zonesOut.Store(int64(len(s.ZonesOut))) },
-		Pull: func(ctx context.Context, _ netip.AddrPort, r *wire.PullRequest) (*wire.PullResponse, error) {
-			return Server{View: peer}.Pull(ctx, r)
-		},
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); w.Run(ctx) }()
-	defer func() { cancel(); <-done }()
-	g.Eventually(zonesOut.Load, "2s").Should(BeEquivalentTo(1))
+	peer, peerLast := runView(t, srv, nil, pullNothing)
+	g.Eventually(peerLast.version.Load, "2s").Should(BeEquivalentTo(7))
+	w, last := runView(t, srv, func() bool { return false }, func(ctx context.Context, _ netip.AddrPort, r *wire.PullRequest) (*wire.PullResponse, error) {
+		return Server{View: peer}.Pull(ctx, r)
+	})
+	g.Eventually(last.zonesOut.Load, "2s").Should(BeEquivalentTo(1))
 	srv.SetFaults(meta.Faults{Status: 503})
 	srv.Remove("evacuations", "z")
 	srv.CompactHistory()
 	srv.SetFaults(meta.Faults{})
-	g.Eventually(func() int64 {
-		w.ObservePeer(ctx, netip.MustParseAddrPort("10.0.0.9:1"), peer.KnownRevisions())
-		return zonesOut.Load()
+	g.Eventually(func() uint64 {
+		w.ObservePeer(context.Background(), netip.MustParseAddrPort("10.0.0.9:1"), peer.KnownRevisions())
+		return last.zonesOut.Load()
 	}, disturbanceTimeout, "50ms").Should(BeZero())
 }
 
@@ -144,8 +142,8 @@
 	g := NewWithT(t)
 	srv := startStore(t)
 	srv.Put("config", "main", config(7))
-	w, version := runView(t, srv, nil)
-	g.Eventually(version.Load, "2s").Should(BeEquivalentTo(7))
+	w, last := runView(t, srv, nil, pullNothing)
+	g.Eventually(last.version.Load, "2s").Should(BeEquivalentTo(7))
 	g.Eventually(w.Watching, "2s").Should(BeTrue())
 	deep := strings.Repeat("[", 500_000) + strings.Repeat("]", 500_000)
 	srv.SetFaults(meta.Faults{Status: 503})
