Shorten the comments of the new tests and test refusals without a limit

Comments of tests are one line. TestRefusalDoesNotEndLimit checks what was so far only said: a refusal that names no limit does not end one. Outside tests only a comment changes.

--- a/fakes/soak/drain_test.go
+++ b/fakes/soak/drain_test.go
@@ -12,8 +12,7 @@
 	"parsleyroute.example/fakes/process/worker"
 )
 
-// Guards against requests that arrive late in a planned stop, are passed on, and are cut
-// without an answer at its end.
+// Guards against requests that arrive late in a planned stop and are cut without an answer.
 func TestRequestsLateInPlannedStop(t *testing.T) {
 	t.Parallel()
 	s := startSystem(t, rand.New(rand.NewPCG(2, 7)))
--- a/fakes/soak/limit_test.go
+++ b/fakes/soak/limit_test.go
@@ -20,8 +20,7 @@
 	maxOfLimit = 1.5*namedLimit*4 + 5
 )
 
-// Guards against gates that each keep the limit of a worker and break it together, while
-// one of them ends and another one is stopped and started again.
+// Guards against gates that each keep the limit of a worker and break it together.
 func TestLimitOfAllGates(t *testing.T) {
 	t.Parallel()
 	s := startSystem(t, rand.New(rand.NewPCG(1, 7)))
--- a/gate/process/fleet/fleet_test.go
+++ b/gate/process/fleet/fleet_test.go
@@ -393,8 +393,7 @@
 	g.Expect(n).To(BeNumerically(">=", 4*12))
 }
 
-// TestLimits guards against limits of a former process that are applied to the present
-// one, and against limits from other gates that replace newer ones.
+// TestLimits guards against limits of a former process, and older ones, that replace the present one.
 func TestLimits(t *testing.T) {
 	g := NewWithT(t)
 	p, entries, config := newPicker(1, &core.PoolConfig{Name: "p"}, func(_ int, entry *core.ListedUpstream) { entry.StartTime, entry.MaxSequences = 5, 1000 })
--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -336,8 +336,7 @@
 	g.Eventually(func() bool { return b.AmongLowestAddresses(2) }, "1s").Should(BeTrue())
 }
 
-// Guards against gates that do not learn within half a second of a limit that an upstream
-// has named to another one, and against an ended limit that comes back from a third one.
+// Guards against gates that do not learn within half a second of a limit named to another one.
 func TestLimitsReachOtherGates(t *testing.T) {
 	g := NewWithT(t)
 	a, b, c := newGossip(t, "a"), newGossip(t, "bb"), newGossip(t, "ccc")
--- a/gate/process/policy/quota_test.go
+++ b/gate/process/policy/quota_test.go
@@ -15,8 +15,7 @@
 	"parsleyroute.example/gate/process/policy"
 )
 
-// Guards against shares that sum up to more or less than the quota, and against gates
-// whose order is the same for all upstreams.
+// Guards against shares that sum up to more than the quota, or that the same gates have everywhere.
 func TestSharesSumUpToQuota(t *testing.T) {
 	g := NewWithT(t)
 	first := map[uint64]bool{}
@@ -43,8 +42,7 @@
 	g.Expect(len(first)).To(BeNumerically(">", 10))
 }
 
-// Guards against two gates that use the same share while the gates change, and against
-// a process that uses the share that its predecessor has just used.
+// Guards against two processes that use the same share in one window.
 func TestShareIsGainedLater(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
@@ -63,8 +61,7 @@
 	g.Expect(s.Share(now.Add(2*time.Second), q).Count).To(BeZero(), "a share is lost at once")
 }
 
-// Guards against limits that are not kept, kept after their end, or given up by all gates
-// at once.
+// Guards against limits that are not kept, kept after their end, or given up at once.
 func TestRateLimit(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
@@ -278,8 +275,7 @@
 	return 16
 }
 
-// Guards against limits that single gates keep and all of them together break: gates
-// that end, start, freeze or are cut off, lost heartbeats, and limits that change or end.
+// Guards against limits that gates break together while they end, start, freeze or are cut off.
 func TestSharedLimitWithRandomGates(t *testing.T) {
 	g := NewWithT(t)
 	for seed := range uint64(simSeeds()) {
--- a/gate/process/view/follow.go
+++ b/gate/process/view/follow.go
@@ -17,8 +17,7 @@
 const (
 	// longPollWait is the maximum time that a watch call waits at the store for
 	// changes. Each call waits up to a quarter less, at random. A lost response is
-	// noticed a second after the wait. Changes that were confirmed 2 s before must be in
-	// force 3 s after the end of such a disturbance.
+	// noticed a second after the wait, and changes must be in force 3 s after a loss.
 	longPollWait = 1500 * time.Millisecond
 	// minWatchInterval is the minimum time from the end of a watch call to the
 	// start of the next.
--- a/gate/process/view/watch_test.go
+++ b/gate/process/view/watch_test.go
@@ -72,8 +72,7 @@
 	g.Eventually(last.version.Load, disturbanceTimeout).Should(BeEquivalentTo(9))
 }
 
-// Guards against gates that cannot begin to watch because the changes since their last
-// call, which they know from peers, exceed the size of a response.
+// Guards against a watch that asks for more known changes than a response can hold.
 func TestWatchAfterManyLargeChanges(t *testing.T) {
 	g := NewWithT(t)
 	srv := startStore(t)
@@ -97,7 +96,7 @@
 	g.Eventually(last.version.Load, applyTimeout).Should(BeEquivalentTo(100))
 }
 
-// Guards against other gates that rely on one that begins to watch while the store does not respond to it.
+// Guards against gates that rely on the watch of one to which the store does not respond.
 func TestUnansweredWatchIsNotAnnounced(t *testing.T) {
 	g := NewWithT(t)
 	srv := startStore(t)
@@ -113,8 +112,7 @@
 	g.Eventually(w.Watching, disturbanceTimeout).Should(BeTrue())
 }
 
-// Guards against zones that stay out of use, and upstreams that stay in use, at gates whose peer
-// learned of the deletion from a complete list.
+// Guards against objects that stay at a gate whose peer learned of their deletion from a list.
 func TestListedDeletionReachesPeers(t *testing.T) {
 	g := NewWithT(t)
 	srv := startStore(t)
@@ -136,8 +134,7 @@
 	}, disturbanceTimeout, "50ms").Should(BeZero())
 }
 
-// Guards against a gate that stops following the store because a large entry of another
-// writer changes so often that the changes exceed the size of a response.
+// Guards against a gate that stops following the store when a large entry changes often.
 func TestWatchOfTooManyChanges(t *testing.T) {
 	g := NewWithT(t)
 	srv := startStore(t)
--- a/gate/request/relay/drain_test.go
+++ b/gate/request/relay/drain_test.go
@@ -10,8 +10,7 @@
 	"parsleyroute.example/fakes/process/worker"
 )
 
-// Guards against requests that a shutdown cuts off without a final response, and against
-// requests that are passed on although they cannot end before it.
+// Guards against requests that a shutdown cuts off without a final response.
 func TestShutdownAnswersAllRequests(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
--- a/gate/request/relay/limit_test.go
+++ b/gate/request/relay/limit_test.go
@@ -161,8 +161,7 @@
 	return most
 }
 
-// Guards against more requests to an upstream than the limit that it names allows, while
-// others have room for them.
+// Guards against more requests to an upstream than the limit that it names allows.
 func TestRequestsBeyondLimit(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
@@ -173,8 +172,7 @@
 	g.Expect(mostInSpan(s.workers[0])).To(BeNumerically("<=", limitFactor*limitSpan.Seconds()+limitSlack))
 }
 
-// Guards against requests that wait for a share which they cannot get in time, and against
-// refusals although one can be had in time.
+// Guards against requests that wait in vain for a share, and against refusals of those that need not.
 func TestAllUpstreamsLimited(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
@@ -203,8 +201,7 @@
 	g.Expect(waits[len(waits)*9/10]).To(BeNumerically("<", 100*time.Millisecond), "what cannot be served is refused at once")
 }
 
-// Guards against an upstream that gets no more requests after its limit has ended, and
-// against all waiting requests being sent to it at once.
+// Guards against an upstream that gets too few requests, or too many at once, after its limit.
 func TestLimitEnds(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
@@ -232,8 +229,7 @@
 	g.Expect(inFirstSecond).To(BeNumerically("<=", 0.5*limitFactor*limitSpan.Seconds()+limitSlack))
 }
 
-// Guards against limits in refusals, on the head of a stream and in responses that break
-// off being ignored, and against a refusal without one being taken for its end.
+// Guards against limits that are ignored in refusals, heads of streams and responses that break off.
 func TestLimitOfIncompleteResponses(t *testing.T) {
 	t.Parallel()
 	for name, script := range map[string]worker.Script{
@@ -261,6 +257,22 @@
 	}
 }
 
+// Guards against a refusal without a limit that is taken for the end of the limit.
+func TestRefusalDoesNotEndLimit(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := startLimitSystem(t, "0.5", "")
+	s.send(t, 20, time.Second)
+	s.workers[0].SetScript(func(c *worker.Conn, req *worker.ReceivedRequest) {
+		c.WriteNotExecuted(req, http.StatusServiceUnavailable, "")
+	})
+	s.workers[0].SetLimit("")
+	for _, r := range s.send(t, 20, 6*time.Second) {
+		g.Expect(r.status).To(Equal(http.StatusOK))
+	}
+	g.Expect(mostInSpan(s.workers[0])).To(BeNumerically("<=", 0.5*limitFactor*limitSpan.Seconds()+limitSlack))
+}
+
 func (s *limitSystem) received() int {
 	n := 0
 	for _, w := range s.workers {
