Add a failing test of a gate that wakes with an older limit

The steady clock of a suspended machine stands still, so that the limits in its first heartbeats after it wakes have too low an age. Other gates take them for newer than their own, until the next response of the upstream to any of them.

--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -397,3 +397,31 @@
 	g.Eventually(func() int { return len(b.RemoteLimits()) }, "3s").Should(BeNumerically(">=", 100))
 	g.Eventually(func() int { return len(b.RemoteLoads()) }, "3s").Should(BeNumerically(">", 0))
 }
+
+// Guards against an older limit that replaces newer ones when a gate wakes whose clock stood still.
+func TestLimitOfWokenGate(t *testing.T) {
+	g := NewWithT(t)
+	a := newGossip(t, "a")
+	startGossip(t, a)
+	conn, err := net.Dial("udp", a.Listen.String())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = conn.Close() })
+	rate := 5.0
+	var sequence uint64
+	send := func() {
+		sequence++
+		data, err := proto.Marshal(&wire.Beat{
+			Instance: "frozen", Incarnation: 1, Sequence: sequence, Address: conn.LocalAddr().String(),
+			Limits: []*wire.UpstreamLimit{{Key: 7, Rate: &rate, AgeMs: 50}},
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		// The first datagrams may arrive before the gate listens.
+		_, _ = conn.Write(data)
+	}
+	g.Eventually(func() int { send(); return len(a.RemoteLimits()) }, "3s", "20ms").Should(Equal(1))
+	time.Sleep(100 * time.Millisecond) // until the last datagram has arrived
+	frozen := time.Now()
+	time.Sleep(1500 * time.Millisecond)
+	send()
+	g.Consistently(func() bool { return a.RemoteLimits()[0].At.After(frozen) }, "300ms", "5ms").Should(BeFalse())
+}
