--- a/review/stand/gate.go
+++ b/review/stand/gate.go
@@ -161,10 +161,19 @@
 // StartGates starts a gate in each of the zones, and waits until all are ready. It
 // returns the gates that it has started also after an error.
 func StartGates(program, dir, storeAddr string, zones ...string) ([]*Gate, error) {
+	addrs := map[string]string{}
+	for _, zone := range zones {
+		addrs[zone] = storeAddr
+	}
+	return StartGatesVia(program, dir, addrs, zones...)
+}
+
+// StartGatesVia does the same with an address of the store for each zone.
+func StartGatesVia(program, dir string, storeAddrs map[string]string, zones ...string) ([]*Gate, error) {
 	gates := []*Gate{}
 	var seeds []string
 	for i, zone := range zones {
-		g := &Gate{Name: fmt.Sprintf("edge-%d", i+1), Zone: zone, Program: program, Dir: dir, StoreAddr: storeAddr}
+		g := &Gate{Name: fmt.Sprintf("edge-%d", i+1), Zone: zone, Program: program, Dir: dir, StoreAddr: storeAddrs[zone]}
 		g.Assign()
 		if len(seeds) < maxSeeds {
 			seeds = append(seeds, g.Peers)
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -14,8 +14,9 @@
 
 const (
 	objectsPath = "/-/objects/"
-	// pageSize is the number of entries on one page of a list.
-	pageSize = 500
+	// pageSize and pageBytes limit one page of a list.
+	pageSize  = 500
+	pageBytes = 1 << 20
 )
 
 type metadata struct {
@@ -179,11 +180,15 @@
 		}
 	}
 	sort.Strings(names)
-	entries := []object{}
+	entries, size := []object{}, 0
 	for _, n := range names[:min(len(names), pageSize)] {
-		entries = append(entries, *s.objects[kind][n])
+		o := *s.objects[kind][n]
+		if size += len(o.Spec); size > pageBytes && len(entries) > 0 {
+			break
+		}
+		entries = append(entries, o)
 	}
-	answer := map[string]any{"entries": entries, "has_more": len(names) > pageSize, "at": s.revision}
+	answer := map[string]any{"entries": entries, "has_more": len(names) > len(entries), "at": s.revision}
 	s.mu.Unlock()
 	reply(w, http.StatusOK, answer)
 }
