--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,48 +1,53 @@
-// Command case3 lets workers leave while the store cuts off waiting watches.
+// Command case3 sends SIGHUP to gates while workers preempt some streams.
 package main
 
 import (
-	"errors"
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"parsleyroute.example/review/stand"
 )
 
 const (
-	host  = "desk.example"
-	key   = "n2ctnfzs989anu6wsjnb"
-	drain = 2000 * time.Millisecond
-	// linger is how much longer than drain a worker that has left goes on serving.
-	linger = 600 * time.Millisecond
-	// stable is the stable window.
+	host   = "draft.example"
+	key    = "n2ctnfzs989anu6wsjnb"
 	stable = 3 * time.Second
-	work   = 120 * time.Millisecond
-	// cutShare is the part of the waiting watches that are cut off.
-	cutShare = 1.0 / 3
-	leaves   = 10
-	leaveGap = 5 * time.Second
-	interval = 20 * time.Millisecond
+	// applied is config_apply_ms.
+	applied  = 2 * time.Second
+	deadline = 8 * time.Second
+	workers  = 4
+	slots    = 15
+	// A stream has so many events, with the given time between two.
+	events = 24
+	gap    = 45 * time.Millisecond
+	users  = 58
+	think  = 20 * time.Millisecond
+	// preempted is the share of the streams that the worker preempts once, for the given
+	// time. Clients wait two seconds for an event.
+	preempted  = 0.03
+	preemption = 1300 * time.Millisecond
+	// hups is the number of times that the gates get SIGHUP.
+	hups   = 10
+	hupGap = 5 * time.Second
 )
 
 type run struct {
-	rec     *stand.Record
-	store   *stand.Store
-	mu      sync.Mutex
-	workers []*stand.Worker
-	// leftAt holds the time at which the store had removed the entry of a worker.
-	leftAt map[string]time.Time
-	// late counts the arrivals after drain, lost the requests without a complete
-	// answer that such a worker was running when it ended.
-	late, lost, sent, served int
-	lateAt                   map[string]bool
-	lateAttempts             map[string]bool
-	started                  int
+	rec *stand.Record
+	mu  sync.Mutex
+	// hupAt holds the times of SIGHUP.
+	hupAt []time.Time
+	// ran holds the requests that reached a worker, paused those that it preempted.
+	ran, paused          map[string]bool
+	sent, served, broken int
+	cut, refused         int
 }
 
 func main() {
@@ -60,160 +65,154 @@
 		return 2, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	r := &run{leftAt: map[string]time.Time{}, lateAt: map[string]bool{}, lateAttempts: map[string]bool{}}
+	r := &run{ran: map[string]bool{}, paused: map[string]bool{}}
 	if r.rec, err = stand.OpenRecord(filepath.Join(folder, "record.txt")); err != nil {
 		return 2, err
 	}
 	defer r.rec.Close()
-	r.store = &stand.Store{}
-	if trouble {
-		r.store.CutWatch = func(string) (float64, bool) { return rand.Float64(), rand.Float64() < cutShare }
-		r.store.OnCut = func(kind, caller string) { r.rec.Log("watch cut off", "kind", kind, "caller", caller) }
-	}
-	if err := r.store.Start(); err != nil {
+	store := &stand.Store{}
+	if err := store.Start(); err != nil {
 		return 2, err
 	}
-	defer r.store.Close()
-	r.store.Put("config", "main", config())
-	for range 4 {
-		if err := r.startWorker(); err != nil {
+	defer store.Close()
+	store.Put("config", "main", config())
+	for i := range workers {
+		m := &stand.Model{
+			ID: fmt.Sprintf("i-%04x", i+1), Backend: "model", Zone: []string{"z-a", "z-b"}[i%2], Slots: slots,
+			Read: 60 * time.Millisecond, Gap: gap, Events: events, Store: store, Preempts: func(attempt string, event int) time.Duration { return r.preempts(trouble, attempt, event) },
+			OnArrival: r.arrived, OnCrash: func(*stand.Model, string, time.Time) {}, OnEnd: r.ended,
+		}
+		if err := m.Start(); err != nil {
 			return 2, err
 		}
+		defer m.Close()
 	}
-	defer func() {
-		for _, w := range r.workers {
-			w.Close()
-		}
-	}()
-	gates, err := stand.StartGates(program, dir, r.store.Addr(), "z-a", "z-b", "z-a")
+	gates, err := stand.StartGates(program, dir, store.Addr(), "z-a", "z-b")
 	defer stand.KillGates(gates)
 	if err != nil {
 		return 2, err
 	}
-	stop := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { r.load(gates, stop) })
+	ingress := &stand.Ingress{Gates: gates, OnChange: func(g *stand.Gate, in bool) { r.rec.Log("rotation", "gate", g.Name, "in", in) }}
+	wg.Go(func() { ingress.Run(ctx) })
+	for i := range users {
+		wg.Go(func() { r.use(ctx, ingress, i) })
+	}
 	time.Sleep(stable + time.Second)
-	for range leaves {
-		if err := r.replaceOne(); err != nil {
-			return 2, err
+	for range hups {
+		r.mu.Lock()
+		r.hupAt = append(r.hupAt, time.Now())
+		r.mu.Unlock()
+		r.rec.Log("gates get SIGHUP")
+		for _, g := range gates {
+			g.Signal(syscall.SIGHUP)
 		}
-		time.Sleep(leaveGap)
+		time.Sleep(hupGap)
 	}
-	close(stop)
+	cancel()
 	wg.Wait()
-	for _, g := range gates {
-		if g.Ended() {
-			return 2, errors.New("a gate has ended")
-		}
+	if err != nil {
+		return 2, err
 	}
+	return r.judge(trouble), nil
+}
+
+// judge returns the exit code.
+func (r *run) judge(trouble bool) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.rec.Log("result", "trouble", trouble, "sent", r.sent, "served", r.served, "leaves", leaves, "late arrivals", r.late, "workers with late arrivals", len(r.lateAt), "lost at them", r.lost)
-	fmt.Printf("%d requests sent, %d served; %d workers left; %d requests reached %d of them more than %v after the store had removed them; %d of these got no complete answer\n",
-		r.sent, r.served, leaves, r.late, len(r.lateAt), drain, r.lost)
-	if r.late > 0 {
-		return 1, nil
+	r.rec.Log("result", "trouble", trouble, "sent", r.sent, "served", r.served, "refused", r.refused, "cut off", r.cut, "cut off after SIGHUP", r.broken, "preempted", len(r.paused))
+	fmt.Printf("%d requests sent, %d served, %d refused; %d streams preempted by their workers; %d cut off in the middle, %d of them sent up to %v after SIGHUP\n",
+		r.sent, r.served, r.refused, len(r.paused), r.cut, r.broken, applied)
+	if r.broken > 0 {
+		return 1
+	}
+	return 0
+}
+
+// preempts decides whether a request is preempted before an event.
+func (r *run) preempts(trouble bool, attempt string, event int) time.Duration {
+	if !trouble || event != events/2 || rand.Float64() >= preempted {
+		return 0
 	}
-	return 0, nil
+	r.rec.Log("preempted", "attempt", attempt)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.paused[attempt] = true
+	return preemption
 }
 
 func config() map[string]any {
 	return map[string]any{
 		"version": 7,
 		"routes": []map[string]any{{
-			"name": "r-order", "hostname": host, "path_prefix": "/order/", "type": "unsafe", "timeout_ms": 3000, "slo_ms": 300,
-			"priority": 2, "backend": "desk", "max_attempts": 2, "anonymous": false,
+			"name": "r-draft", "hostname": host, "path_prefix": "/draft/", "type": "streaming", "timeout_ms": deadline.Milliseconds(), "slo_ms": 500,
+			"priority": 1, "backend": "model", "max_attempts": 2, "anonymous": false, "session_affinity": true, "stream_resume": true, "gap_aim_ms": 120,
 		}},
-		"backends": []map[string]any{{"name": "desk", "health_path": "/healthz", "max_connections": 96, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0}},
+		"backends": []map[string]any{{"name": "model", "health_path": "/healthz", "max_connections": 408, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0, "engine": map[string]any{"slots": 12}}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []map[string]any{{"name": "hule930", "api_keys": []string{key}, "priority": 1}},
 	}
 }
 
-// startWorker starts one more worker.
-func (r *run) startWorker() error {
-	r.started++
-	w := &stand.Worker{
-		ID: fmt.Sprintf("i-%04x", r.started), Backend: "desk", Zone: []string{"z-a", "z-b"}[r.started%2], Slots: 6, Work: work, Store: r.store,
-		OnArrival: r.arrived, OnEnd: r.ended,
-	}
-	if err := w.Start(); err != nil {
-		return err
-	}
-	r.workers = append(r.workers, w)
-	r.rec.Log("worker started", "worker", w.ID, "address", w.Addr())
-	return nil
-}
-
-// replaceOne starts a worker and lets the oldest one leave.
-func (r *run) replaceOne() error {
-	if err := r.startWorker(); err != nil {
-		return err
-	}
-	time.Sleep(time.Duration(1000+rand.IntN(1000)) * time.Millisecond)
-	w := r.workers[0]
-	r.workers = r.workers[1:]
-	w.Leave()
-	r.mu.Lock()
-	r.leftAt[w.ID] = time.Now()
-	r.mu.Unlock()
-	r.rec.Log("worker left the store", "worker", w.ID)
-	time.AfterFunc(drain+linger, func() {
-		w.Close()
-		r.rec.Log("worker ended", "worker", w.ID)
-	})
-	return nil
-}
-
-func (r *run) arrived(w *stand.Worker, attempt string, at time.Time) {
+func (r *run) arrived(m *stand.Model, req *http.Request, _ time.Time) {
+	attempt := req.Header.Get(stand.HeaderAttempt)
+	r.rec.Log("runs", "worker", m.ID, "attempt", attempt)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fields := []any{"worker", w.ID, "attempt", attempt}
-	if left, ok := r.leftAt[w.ID]; ok {
-		since := at.Sub(left)
-		fields = append(fields, "ms after it left", since.Milliseconds())
-		if since > drain {
-			r.late++
-			r.lateAt[w.ID], r.lateAttempts[attempt] = true, true
-			fields = append(fields, "late", true)
-		}
-	}
-	r.rec.Log("runs", fields...)
+	r.ran[attempt] = true
 }
 
-func (r *run) ended(w *stand.Worker, attempt string, _ time.Time) {
-	r.rec.Log("ran", "worker", w.ID, "attempt", attempt)
+func (r *run) ended(m *stand.Model, attempt string) {
+	r.rec.Log("ran", "worker", m.ID, "attempt", attempt)
 }
 
-// load sends requests to all gates in turn until stop is closed.
-func (r *run) load(gates []*stand.Gate, stop <-chan struct{}) {
-	client := stand.NewClient(host, key)
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
+// use sends requests on one connection, with pauses, until ctx ends.
+func (r *run) use(ctx context.Context, ingress *stand.Ingress, number int) {
+	user := stand.NewUser(ingress, host, key)
 	for i := 0; ; i++ {
 		select {
-		case <-stop:
+		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-time.After(time.Duration(rand.Float64() * float64(think))):
+		}
+		attempt := fmt.Sprintf("%08x%08x", number, i)
+		r.rec.Log("sent", "attempt", attempt)
+		a := user.Ask("/draft/new", attempt, deadline,
+			"X-Parsleyroute-Model", "m", "X-Parsleyroute-Token-Usage", "1460,200", "X-Parsleyroute-Prefix-Hash", fmt.Sprintf("5c1e07a2:800,%08x:250", number))
+		r.judgeAnswer(user.Gate(), attempt, a)
+		if a.RetryAfter > 0 {
+			time.Sleep(a.RetryAfter)
 		}
-		gate := gates[i%len(gates)]
-		attempt := fmt.Sprintf("%016x", i+1)
-		wg.Go(func() {
-			r.rec.Log("sent", "attempt", attempt, "gate", gate.Name)
-			a := client.Send(gate.Callers, "POST", "/order/new", attempt, 3*time.Second, strings.NewReader("one plate"))
-			r.rec.Log("answered", "attempt", attempt, "status", a.Status, "signed", a.Signed, "error", fmt.Sprint(a.Err), "ms taken", a.Took.Milliseconds())
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.sent++
-			switch {
-			case a.Err == nil && a.Status == 200 && a.Signed:
-				r.served++
-			case r.lateAttempts[attempt]:
-				r.lost++
+	}
+}
+
+func (r *run) judgeAnswer(g *stand.Gate, attempt string, a stand.Answer) {
+	whole := a.Err == nil && a.Status == 200 && strings.Count(a.Body, "id: ") == events
+	name := ""
+	if g != nil {
+		name = g.Name
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	fields := []any{"attempt", attempt, "gate", name, "status", a.Status, "whole", whole, "error", fmt.Sprint(a.Err), "ms taken", a.Took.Milliseconds()}
+	if whole {
+		r.served++
+	}
+	switch {
+	case a.Status == 503:
+		r.refused++
+	case a.Status == 200 && a.Err != nil && a.Took < deadline:
+		r.cut++
+		fields = append(fields, "cut", true, "preempted", r.paused[attempt])
+		for _, at := range r.hupAt {
+			if since := a.SentAt.Sub(at); since > 0 && since <= applied {
+				r.broken++
+				fields = append(fields, "sent ms after SIGHUP", since.Milliseconds())
 			}
-		})
+		}
 	}
+	r.rec.Log("answered", fields...)
 }
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,5 +7,5 @@
 for main in [1-5]/main.go; do
 	[ -e "$main" ] || continue
 	n=$(dirname "$main")
-	go build -o "../target/review/case$n" "./$n"
+	go build -buildvcs=false -o "../target/review/case$n" "./$n"
 done
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -14,6 +14,8 @@
 	Signed bool
 	Body   string
 	Err    error
+	// RetryAfter is the time after which the client is asked to come back.
+	RetryAfter time.Duration
 	// SentAt is when the request was sent, and Took how long it took.
 	SentAt time.Time
 	Took   time.Duration
@@ -54,6 +56,9 @@
 		return a
 	}
 	defer func() { _ = res.Body.Close() }()
+	if seconds, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
+		a.RetryAfter = time.Duration(seconds * float64(time.Second))
+	}
 	data, err := io.ReadAll(res.Body)
 	a.Status, a.Signed, a.Body, a.Err, a.Took = res.StatusCode, res.Header.Get(HeaderSigned) != "", string(data), err, time.Since(a.SentAt)
 	return a
--- a/review/stand/model.go
+++ b/review/stand/model.go
@@ -19,6 +19,9 @@
 	// Events their number.
 	Read, Gap time.Duration
 	Events    int
+	// Preempts, if set, returns how long the request is preempted before an event, zero
+	// for most.
+	Preempts func(attempt string, event int) time.Duration
 	// Deadly is the id of the part of a prompt on which the worker crashes as it begins
 	// to write an answer. It is back after Down.
 	Deadly string
@@ -214,6 +217,9 @@
 		return false
 	}
 	for id := first; id <= m.Events; id++ {
+		if m.Preempts != nil && !m.sleep(m.Preempts(attempt, id), life) {
+			return false
+		}
 		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id)
 		if !write(c, "%s%x\r\n%s\r\n", text, len(event), event) {
 			return false
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -32,10 +32,6 @@
 	// result of the run.
 	OnArrival func(w *Worker, attempt string, at time.Time)
 	OnEnd     func(w *Worker, attempt string, at time.Time)
-	// A cold worker that gets more than ColdLimit requests in a second ends. OnCrash
-	// is called then. Zero means that it bears any number.
-	ColdLimit int
-	OnCrash   func(w *Worker)
 
 	ln     net.Listener
 	server *http.Server
@@ -43,11 +39,6 @@
 	born   int64
 	stop   chan struct{}
 	once   sync.Once
-
-	mu        sync.Mutex
-	coldUntil time.Time
-	// recent holds the arrivals of the last second while the worker is cold.
-	recent []time.Time
 }
 
 // Start serves on a free loopback port and registers the worker.
@@ -72,7 +63,7 @@
 	for sequence := 1; ; sequence++ {
 		w.Store.Put("servers", w.ID, map[string]any{
 			"backend": w.Backend, "address": w.Addr(), "zone": w.Zone, "version": "v1", "slots": w.Slots, "state": "ready",
-			"cold_remaining_ms": w.ColdRemaining().Milliseconds(), "sequence": sequence, "born": w.born,
+			"cold_remaining_ms": 0, "sequence": sequence, "born": w.born,
 		})
 		select {
 		case <-w.stop:
@@ -82,35 +73,6 @@
 	}
 }
 
-// TurnCold makes the worker cold for d, as it may become at any moment. Its health
-// answers say so at once, its entry with the next heartbeat.
-func (w *Worker) TurnCold(d time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.coldUntil, w.recent = time.Now().Add(d), nil
-}
-
-// ColdRemaining returns how much longer the worker is cold.
-func (w *Worker) ColdRemaining() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return max(0, time.Until(w.coldUntil))
-}
-
-// bears records an arrival and reports whether the worker bears it.
-func (w *Worker) bears(at time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.ColdLimit == 0 || !at.Before(w.coldUntil) {
-		return true
-	}
-	for len(w.recent) > 0 && at.Sub(w.recent[0]) > time.Second {
-		w.recent = w.recent[1:]
-	}
-	w.recent = append(w.recent, at)
-	return len(w.recent) <= w.ColdLimit
-}
-
 // Leave removes the entry, as a worker does that never reports draining. The worker
 // goes on serving until Close.
 func (w *Worker) Leave() {
@@ -138,9 +100,6 @@
 	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
 		rw.Header().Set("X-Parsleyroute-Instance-Id", w.ID)
 		rw.Header().Set("X-Parsleyroute-Instance-Load", fmt.Sprintf("%d,0,%d", len(w.slots), w.Slots))
-		if cold := w.ColdRemaining(); cold > 0 {
-			rw.Header().Set("X-Parsleyroute-Cold-Ms", fmt.Sprint(cold.Milliseconds()))
-		}
 		return
 	}
 	select {
@@ -152,11 +111,6 @@
 	}
 	defer func() { <-w.slots }()
 	w.OnArrival(w, attempt, at)
-	if !w.bears(at) {
-		w.OnCrash(w)
-		w.Close()
-		return
-	}
 	time.Sleep(w.Work)
 	rw.Header().Set(HeaderSigned, fmt.Sprintf("%s.%s", w.ID, attempt))
 	rw.Header().Set("X-Parsleyroute-Instance-Load", fmt.Sprintf("%d,0,%d", len(w.slots), w.Slots))
