--- a/review/1/main.go
+++ b/review/1/main.go
@@ -23,7 +23,7 @@
 	stable = 3 * time.Second
 	// calm is the time without the part, trouble the time with it.
 	calm     = 10 * time.Second
-	trouble  = 25 * time.Second
+	trouble  = 22 * time.Second
 	interval = 50 * time.Millisecond
 	// deadlyEvery is the share of the requests that have the part: one in so many.
 	deadlyEvery = 20
