--- a/review/3/main.go
+++ b/review/3/main.go
@@ -34,16 +34,16 @@
 	// time. Clients wait two seconds for an event.
 	preempted  = 0.03
 	preemption = 1300 * time.Millisecond
-	// hups is the number of times that the gates get SIGHUP.
-	hups   = 10
-	hupGap = 5 * time.Second
+	// hups is the number of times that one of the gates, in turn, gets SIGHUP.
+	hups   = 20
+	hupGap = 2500 * time.Millisecond
 )
 
 type run struct {
 	rec *stand.Record
 	mu  sync.Mutex
-	// hupAt holds the times of SIGHUP.
-	hupAt []time.Time
+	// hupAt holds the times of SIGHUP of each gate.
+	hupAt map[*stand.Gate][]time.Time
 	// ran holds the requests that reached a worker, paused those that it preempted.
 	ran, paused          map[string]bool
 	sent, served, broken int
@@ -65,7 +65,7 @@
 		return 2, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	r := &run{ran: map[string]bool{}, paused: map[string]bool{}}
+	r := &run{hupAt: map[*stand.Gate][]time.Time{}, ran: map[string]bool{}, paused: map[string]bool{}}
 	if r.rec, err = stand.OpenRecord(filepath.Join(folder, "record.txt")); err != nil {
 		return 2, err
 	}
@@ -100,14 +100,13 @@
 		wg.Go(func() { r.use(ctx, ingress, i) })
 	}
 	time.Sleep(stable + time.Second)
-	for range hups {
+	for i := range hups {
+		g := gates[i%len(gates)]
 		r.mu.Lock()
-		r.hupAt = append(r.hupAt, time.Now())
+		r.hupAt[g] = append(r.hupAt[g], time.Now())
 		r.mu.Unlock()
-		r.rec.Log("gates get SIGHUP")
-		for _, g := range gates {
-			g.Signal(syscall.SIGHUP)
-		}
+		r.rec.Log("gate gets SIGHUP", "gate", g.Name)
+		g.Signal(syscall.SIGHUP)
 		time.Sleep(hupGap)
 	}
 	cancel()
@@ -207,7 +206,7 @@
 	case a.Status == 200 && a.Err != nil && a.Took < deadline:
 		r.cut++
 		fields = append(fields, "cut", true, "preempted", r.paused[attempt])
-		for _, at := range r.hupAt {
+		for _, at := range r.hupAt[g] {
 			if since := a.SentAt.Sub(at); since > 0 && since <= applied {
 				r.broken++
 				fields = append(fields, "sent ms after SIGHUP", since.Milliseconds())
