Move a silent response only once another upstream goes on

Cause: the watchdog closed the connection of a silent stream, or of a safe request without a response, before another upstream had a place for it. Without a slot, with a refusal or without a retry the response ended.

Why it works: a standby gets a slot and a retry, sends the request, and takes the place of the first attempt when its next event has arrived. Until then the first attempt may go on, and an event of it gives up the standby. A connection that the gate closes counts against the upstream only if nothing else was heard from it.

--- a/gate/request/relay/answer.go
+++ b/gate/request/relay/answer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -12,8 +13,8 @@
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/meter"
-	"parsleyroute.example/gate/conn/outlet"
 	"parsleyroute.example/gate/process/fleet"
+	"parsleyroute.example/gate/request/event"
 )
 
 const (
@@ -43,35 +44,53 @@
 // receive reads the response to the request that was sent on the connection. It
 // forwards the response, or returns a status after which the request may be
 // retried.
-func (t *transaction) receive(ctx context.Context, u *fleet.Upstream, c *outlet.Conn, isNew bool, h *fasthttp.ResponseHeader, w *watchdog) (core.ResponseInfo, attemptResult) {
-	info, err := t.readHeader(c, isNew, h)
-	if err != nil {
-		return info, attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err}
+func (t *transaction) receive(ctx context.Context, c *call, w *watchdog) attemptResult {
+	var err error
+	if c.info, err = t.readHeader(c); err != nil {
+		return attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err}
 	}
-	t.observeLimit(u, h, info)
+	h, info := &c.header, c.info
+	t.observeHeader(c.upstream, h, info)
 	if t.inbound.HeaderWritten() && !info.NotExecuted && !t.continuesStream(h, info) {
-		return info, attemptResult{status: attemptFailed, outcome: fleet.Failed, err: trace.BadParameter("the response does not continue the stream: status %d", h.StatusCode())}
+		return attemptResult{status: attemptFailed, outcome: fleet.Failed, err: trace.BadParameter("the response does not continue the stream: status %d", h.StatusCode())}
 	}
-	body := c.Body(h, t.inbound.Header.Method())
+	body := c.conn.Body(h, t.method)
 	if t.route.Kind == core.RouteStream && h.StatusCode() == fasthttp.StatusOK && t.authentic(h, info) {
 		start := time.Now()
-		res := t.forwardEvents(ctx, h, body, w)
+		res := t.forwardEvents(ctx, h, event.NewReader(body), w)
 		res.responding = time.Since(start)
-		return info, res
+		return res
 	}
-	w.recordResponse()
+	w.recordResponse(false)
 	data, more, err := readBody(body)
-	switch {
-	case err != nil:
-		return info, attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err}
-	case more:
-		return info, t.forwardLarge(h, info, data, body)
+	if err != nil {
+		return attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err}
+	}
+	// Another attempt goes on if this one says nothing of the request.
+	if t.endsRequest(h, info) && !w.recordResponse(true) {
+		return attemptResult{status: attemptLost, outcome: fleet.Inconclusive, err: errReplaced}
 	}
-	res := t.handleResponse(u, h, info, data)
+	if more {
+		return t.forwardLarge(h, info, data, body)
+	}
+	res := t.handleResponse(c.upstream, h, info, data)
 	// A request that was refused because of another upstream may be sent to this one
 	// again. It must not find a second copy of the refusal on the connection.
 	res.complete = !info.NotExecuted || info.FailedUpstream == ""
-	return info, res
+	return res
+}
+
+// errReplaced is the error of an attempt whose place a standby has taken.
+var errReplaced = trace.CompareFailed("another attempt has taken the place of this one")
+
+// endsRequest reports whether handleResponse forwards the response.
+func (t *transaction) endsRequest(h *fasthttp.ResponseHeader, info core.ResponseInfo) bool {
+	status := h.StatusCode()
+	switch {
+	case info.NotExecuted, impliesNotRun(status), status/100 == 2 && !t.authentic(h, info):
+		return false
+	}
+	return status < fasthttp.StatusInternalServerError || !t.repeatable()
 }
 
 // authentic reports whether the response is signed by the upstream, echoes this
@@ -91,13 +110,14 @@
 // late responses to earlier requests on the connection. A response without an id is
 // accepted only on a new connection, since it may otherwise be a second response to
 // an earlier request.
-func (t *transaction) readHeader(c *outlet.Conn, isNew bool, h *fasthttp.ResponseHeader) (core.ResponseInfo, error) {
+func (t *transaction) readHeader(c *call) (core.ResponseInfo, error) {
+	h := &c.header
 	for range maxStaleResponses {
-		if err := c.ReadHeader(h); err != nil {
+		if err := c.conn.ReadHeader(h); err != nil {
 			return core.ResponseInfo{}, err
 		}
 		info := t.relay.Protocol.ResponseInfo(h)
-		if info.AttemptID == t.info.AttemptID || info.AttemptID == "" && isNew {
+		if info.AttemptID == t.info.AttemptID || info.AttemptID == "" && c.isNew {
 			return info, nil
 		}
 		if info.AttemptID == "" {
@@ -107,7 +127,7 @@
 		meter.Event("stale_answers")
 		// "answers" is the id of the request that the response answers.
 		t.log("stale_answer", "answers", info.AttemptID)
-		n, err := io.Copy(io.Discard, io.LimitReader(c.Body(h, t.inbound.Header.Method()), maxStaleBody))
+		n, err := io.Copy(io.Discard, io.LimitReader(c.conn.Body(h, t.method), maxStaleBody))
 		switch {
 		case err != nil:
 			return core.ResponseInfo{}, err
@@ -133,17 +153,10 @@
 	resp := &response{status: status, header: t.responseHeader(h), body: data}
 	switch {
 	case info.NotExecuted:
-		switch {
-		case status == fasthttp.StatusMisdirectedRequest:
-			u.MarkReplaced()
-			t.relay.ConfirmCrash(u)
-		case info.FailedUpstream != "":
-			t.log("group_stalled", "upstream", u.ID, "culprit", info.FailedUpstream)
-			t.relay.Picker.Fleet.MarkGroupDown(time.Now(), u, info.FailedUpstream)
-			if info.FailedUpstream != u.Conns.Addr.String() {
-				// The upstream itself is healthy and may be tried again.
-				t.tried = t.tried[:len(t.tried)-1]
-			}
+		t.observeRefusal(u, status, info)
+		if status != fasthttp.StatusMisdirectedRequest && info.FailedUpstream != "" && info.FailedUpstream != u.Conns.Addr.String() {
+			// The upstream itself is healthy and may be tried again.
+			t.tried = slices.DeleteFunc(t.tried, func(tried *fleet.Upstream) bool { return tried == u })
 		}
 		return attemptResult{status: attemptNotRun, outcome: fleet.Inconclusive, err: trace.LimitExceeded("the upstream did not run the request: status %d", status)}
 	case status/100 == 2 && !t.authentic(h, info):
@@ -166,6 +179,19 @@
 	return attemptResult{outcome: fleet.Succeeded, unframed: h.ContentLength() == unframedLength}
 }
 
+// observeRefusal records what a response that states that the request was not run says of
+// the upstream and its group.
+func (t *transaction) observeRefusal(u *fleet.Upstream, status int, info core.ResponseInfo) {
+	switch {
+	case status == fasthttp.StatusMisdirectedRequest:
+		u.MarkReplaced()
+		t.relay.ConfirmCrash(u)
+	case info.FailedUpstream != "":
+		t.log("group_stalled", "upstream", u.ID, "culprit", info.FailedUpstream)
+		t.relay.Picker.Fleet.MarkGroupDown(time.Now(), u, info.FailedUpstream)
+	}
+}
+
 // impliesNotRun reports whether callers conclude from a status that the request
 // has not run.
 func impliesNotRun(status int) bool {
--- a/gate/request/relay/attempt.go
+++ b/gate/request/relay/attempt.go
@@ -60,6 +60,10 @@
 	// unframed is set if the end of the connection was the end of the response, so that
 	// the upstream may have crashed.
 	unframed bool
+	// standby is an attempt that goes on in place of this one, and replaced is set if it
+	// has ended this one.
+	standby  *standby
+	replaced bool
 }
 
 // attempt sends the request to the upstream and forwards the response. Pick has
@@ -67,85 +71,120 @@
 func (t *transaction) attempt(ctx context.Context, u *fleet.Upstream) attemptStatus {
 	t.tried = append(t.tried, u)
 	start := time.Now()
-	res := t.roundTrip(ctx, u)
+	return t.endAttempt(ctx, start, u, t.roundTrip(ctx, u))
+}
+
+// endAttempt records how an attempt ended and continues with its standby, if it has one.
+func (t *transaction) endAttempt(ctx context.Context, start time.Time, u *fleet.Upstream, res attemptResult) attemptStatus {
 	if t.inbound.Context().Err() != nil {
 		// The attempt ended because the caller disconnected.
 		res.outcome = fleet.Inconclusive
 	}
 	t.complete = res.status == attemptDone && res.outcome == fleet.Succeeded
 	t.relay.Picker.Fleet.EndRequest(time.Now(), u, res.outcome)
-	if res.status == attemptLost && t.route.Kind == core.RouteStream {
-		t.relay.Picker.Fleet.SuspectGroup(time.Now(), u)
-	}
-	if res.status == attemptLost || res.unframed {
+	switch {
+	case res.replaced:
+		// The response goes on, so the upstream is checked meanwhile.
+		if loss, ok := t.lossOf(ctx, u, res); ok {
+			go t.relay.checkCrash(u, loss, nil)
+		}
+	case res.status == attemptLost || res.unframed:
+		if res.status == attemptLost && t.route.Kind == core.RouteStream {
+			t.relay.Picker.Fleet.SuspectGroup(time.Now(), u)
+		}
 		t.observeLoss(ctx, u, res)
 	}
 	if res.status != attemptDone {
 		// The key "verdict" holds the reason of the failure.
-		fields := []any{"upstream", u.ID, "verdict", string(res.status.reason()), "took", time.Since(start), "load", u.Load(), "last_event", t.stream.lastID, "responding", res.responding, "events", res.events, "parts", t.info.PromptParts}
+		fields := []any{"upstream", u.ID, "verdict", string(res.status.reason()), "took", time.Since(start), "load", u.Load(), "last_event", t.stream.lastID, "responding", res.responding, "events", res.events, "replaced", res.replaced, "parts", t.info.PromptParts}
 		if res.err != nil {
 			fields = append(fields, "error", res.err)
 		}
 		t.log("attempt_failed", fields...)
 	}
+	if res.standby != nil {
+		if status, ok := t.follow(ctx, res.standby); ok {
+			return status
+		}
+	}
 	return res.status
 }
 
 // roundTrip sends the request on one connection to the upstream and receives the
 // response.
 func (t *transaction) roundTrip(ctx context.Context, u *fleet.Upstream) attemptResult {
+	c, res := t.open(ctx, u, t.stream.streamPosition)
+	if c == nil {
+		return res
+	}
+	t.sends++
+	t.retryReserved = false
+	if t.sentAt.IsZero() {
+		t.sentAt = c.sent
+	}
+	w := t.startWatchdog(ctx, c)
+	return t.endCall(c, w, t.receive(ctx, c, w))
+}
+
+// open sends the request to the upstream. It returns no call if nothing was sent. It may run
+// beside another attempt.
+func (t *transaction) open(ctx context.Context, u *fleet.Upstream, p streamPosition) (*call, attemptResult) {
 	// A repeatable request may use a connection after any idle time.
 	maxIdle := time.Hour
 	if !t.repeatable() {
 		maxIdle = outlet.MaxIdleNonRetryable
 	}
-	c, isNew, err := u.Conns.Get(ctx, maxIdle)
+	conn, isNew, err := u.Conns.Get(ctx, maxIdle)
 	switch {
 	case trace.IsLimitExceeded(err):
-		return attemptResult{status: attemptUnsent, outcome: fleet.Inconclusive, err: err}
+		return nil, attemptResult{status: attemptUnsent, outcome: fleet.Inconclusive, err: err}
 	case err != nil:
-		return attemptResult{status: attemptUnsent, outcome: fleet.Unreachable, err: err}
+		return nil, attemptResult{status: attemptUnsent, outcome: fleet.Unreachable, err: err}
 	}
 	// The connection is closed when the request times out or its caller
 	// disconnects, so that the upstream stops the work.
-	stop := context.AfterFunc(ctx, c.Close)
-	c.SetDeadline(t.deadline)
-	t.sends++
+	c := &call{upstream: u, conn: conn, isNew: isNew, sent: time.Now(), detach: context.AfterFunc(ctx, conn.Close)}
+	conn.SetDeadline(t.deadline)
 	meter.Event("sends")
-	t.log("sent", "upstream", u.ID, "zone", u.Zone, "load", u.Load(), "fresh", isNew, "left", time.Until(t.deadline), "send", t.sends)
+	t.log("sent", "upstream", u.ID, "zone", u.Zone, "load", u.Load(), "fresh", isNew, "left", time.Until(t.deadline), "send", t.sends+int(t.standbySends.Load())+1)
 	// If a part was sent, the request may have run, so the response is read.
-	if err := c.Send(t.requestHeader(u), t.inbound.Body); err != nil && !c.Sent() {
-		stop()
-		c.Close()
-		t.sends--
-		return attemptResult{status: attemptUnsent, outcome: fleet.ConnectionLost, err: err}
+	if err := conn.Send(t.requestHeader(u, p), t.inbound.Body); err != nil && !conn.Sent() {
+		c.detach()
+		conn.Close()
+		return nil, attemptResult{status: attemptUnsent, outcome: fleet.ConnectionLost, err: err}
 	}
-	t.retryReserved = false
-	sent := time.Now()
-	if t.sentAt.IsZero() {
-		t.sentAt = sent
-	}
-	var h fasthttp.ResponseHeader
-	w := t.startWatchdog(c, u)
-	info, res := t.receive(ctx, u, c, isNew, &h, w)
-	res.sent = sent
-	w.stop()
-	if stop() && res.complete {
-		c.Release(outlet.Reusable(&h), info.KeepAliveTimeout)
+	return c, attemptResult{}
+}
+
+// endCall ends a call whose response was received, or was not, with the given result.
+func (t *transaction) endCall(c *call, w *watchdog, res attemptResult) attemptResult {
+	res.sent = c.sent
+	res.standby = w.stop(res.status == attemptDone)
+	if c.detach() && res.complete {
+		c.conn.Release(outlet.Reusable(&c.header), c.info.KeepAliveTimeout)
 	} else {
-		c.Close()
+		c.conn.Close()
 	}
-	if res.status != attemptDone && res.status != attemptNotRun {
+	if res.status != attemptDone && res.status != attemptNotRun || t.standbySends.Load() > 0 {
 		t.mayHaveRun = true
 	}
+	w.mu.Lock()
+	res.replaced = w.replaced
+	w.mu.Unlock()
+	if res.replaced && c.upstream.LastHeard(c.sent).After(w.lastEvent) {
+		// This gate has closed the connection, and the upstream responds to others.
+		res.outcome = fleet.Inconclusive
+	}
 	return res
 }
 
-// requestHeader returns the request line and the header fields for the upstream.
-func (t *transaction) requestHeader(u *fleet.Upstream) []byte {
+// prepareRequest encodes what is the same in all attempts: the request line and the fields
+// that are forwarded.
+func (t *transaction) prepareRequest() {
 	h := t.inbound.Header
-	b := make([]byte, 0, 1024+len(t.inbound.Body))
-	b = append(b, h.Method()...)
+	t.method = h.Method()
+	b := make([]byte, 0, 1024)
+	b = append(b, t.method...)
 	b = append(b, ' ')
 	b = append(b, h.RequestURI()...)
 	b = append(b, " HTTP/1.1\r\nHost: "...)
@@ -157,19 +196,26 @@
 			b = core.AppendField(b, k, v)
 		}
 	}
+	if len(t.inbound.Body) > 0 || !h.IsGet() && !h.IsHead() && !h.IsDelete() && !h.IsOptions() {
+		b = append(b, "Content-Length: "...)
+		b = fasthttp.AppendUint(b, len(t.inbound.Body))
+		b = append(b, "\r\n"...)
+	}
+	t.forwarded = b
+}
+
+// requestHeader returns the request line and the header fields for the upstream.
+func (t *transaction) requestHeader(u *fleet.Upstream, p streamPosition) []byte {
+	b := make([]byte, 0, len(t.forwarded)+256+len(t.inbound.Body))
+	b = append(b, t.forwarded...)
 	d := core.Dispatch{
 		Timeout: time.Until(t.deadline), Instance: u.ID,
-		LastEventID: t.stream.lastID, HasLastEventID: t.stream.hasLastID,
+		LastEventID: p.lastID, HasLastEventID: p.hasLastID,
 	}
 	if t.team != nil {
 		d.Team = t.team.Name
 	}
 	b = t.relay.Protocol.AppendDispatch(b, &d)
-	if len(t.inbound.Body) > 0 || !h.IsGet() && !h.IsHead() && !h.IsDelete() && !h.IsOptions() {
-		b = append(b, "Content-Length: "...)
-		b = fasthttp.AppendUint(b, len(t.inbound.Body))
-		b = append(b, "\r\n"...)
-	}
 	return append(b, "\r\n"...)
 }
 
--- a/gate/request/relay/contain.go
+++ b/gate/request/relay/contain.go
@@ -85,30 +85,44 @@
 // a crash. What has arrived of the response says little, since the upstream may crash
 // before it has sent the header or after the first event; more events clear the request.
 func (t *transaction) observeLoss(ctx context.Context, u *fleet.Upstream, res attemptResult) {
+	loss, ok := t.lossOf(ctx, u, res)
+	if ok && t.relay.checkCrash(u, loss, []any{"request", t.info.AttemptID, "responding", res.responding, "events", res.events, "parts", t.info.PromptParts}) {
+		t.crashes++
+	}
+}
+
+// lossOf returns the crash that the upstream of a lost request may have had, and false if
+// the request is not suspect.
+func (t *transaction) lossOf(ctx context.Context, u *fleet.Upstream, res attemptResult) (policy.Crash, bool) {
 	if len(t.parts) == 0 || res.sent.IsZero() || res.events >= successEvents {
-		return
+		return policy.Crash{}, false
 	}
 	ended := t.timedOut(ctx) || t.inbound.Context().Err() != nil
 	if ended && time.Since(u.LastHeard(res.sent)) < minCrashSilence {
-		return
+		return policy.Crash{}, false
 	}
-	loss := policy.Crash{
+	return policy.Crash{
 		ID: xxhash.Sum64String(t.info.AttemptID + "/" + u.ID), Upstream: crashKey(u), Parts: t.parts, Sent: res.sent, At: time.Now(),
-	}
-	// An upstream that leaves ends on purpose.
-	state := t.relay.Picker.Fleet.ProcessState(u)
+	}, true
+}
+
+// checkCrash records a loss as a crash if the upstream has ended without notice, which it
+// reports.
+func (r *Relay) checkCrash(u *fleet.Upstream, loss policy.Crash, fields []any) bool {
+	state := r.Picker.Fleet.ProcessState(u)
 	if state == fleet.ProcessLeaving {
-		return
+		// An upstream that leaves ends on purpose.
+		return false
 	}
 	if state == fleet.ProcessListed && acceptsConnections(u) {
-		t.relay.Containment.ObserveLoss(loss)
-		return
+		r.Containment.ObserveLoss(loss)
+		return false
 	}
-	t.crashes++
-	if t.relay.Containment.Observe(loss) {
-		t.relay.logCrash(u, "lost", loss, "request", t.info.AttemptID, "responding", res.responding, "events", res.events, "parts", t.info.PromptParts)
-		t.relay.notifyContainment()
+	if r.Containment.Observe(loss) {
+		r.logCrash(u, "lost", loss, fields...)
+		r.notifyContainment()
 	}
+	return true
 }
 
 // crashKey identifies a process in crashes.
--- a/gate/request/relay/limit.go
+++ b/gate/request/relay/limit.go
@@ -14,6 +14,11 @@
 // upstream when a request has waited for this gate's share of a limit.
 const limitReserve = 0.5
 
+// observeHeader records what the header of a response says of its upstream.
+func (t *transaction) observeHeader(u *fleet.Upstream, h *fasthttp.ResponseHeader, info core.ResponseInfo) {
+	t.observeLimit(u, h, info)
+}
+
 // observeLimit records the limit that a response of the upstream names, or that it
 // names none.
 func (t *transaction) observeLimit(u *fleet.Upstream, h *fasthttp.ResponseHeader, info core.ResponseInfo) {
@@ -33,8 +38,8 @@
 // of a limit.
 func (t *transaction) limitDeadline() time.Time {
 	until := t.deadline.Add(-time.Duration(limitReserve * float64(t.route.LatencyObjective)))
-	if t.route.Kind == core.RouteStream && t.eventDeadline().Before(until) {
-		return t.eventDeadline()
+	if d := t.eventDeadline(t.stream.lastEventAt); t.route.Kind == core.RouteStream && d.Before(until) {
+		return d
 	}
 	return until
 }
--- a/gate/request/relay/stream.go
+++ b/gate/request/relay/stream.go
@@ -13,12 +13,28 @@
 	"parsleyroute.example/gate/request/event"
 )
 
-// streamState is the progress of a stream.
-type streamState struct {
-	// lastID is the id of the last event that the caller has received, if
-	// hasLastID is set.
+// streamPosition is the position of a stream after the event with the id lastID, if
+// hasLastID is set.
+type streamPosition struct {
 	lastID    uint64
 	hasLastID bool
+}
+
+// repeats reports whether an event is at or before the position.
+func (p streamPosition) repeats(e event.Event) bool {
+	return e.HasID && p.hasLastID && e.ID <= p.lastID
+}
+
+// eventReader returns the events of a stream. It is an event.Reader or a replayReader.
+type eventReader interface {
+	Next() (event.Event, error)
+	Buffered() bool
+}
+
+// streamState is the progress of a stream.
+type streamState struct {
+	// The position is that of the last event that the caller has received.
+	streamPosition
 	// contentType is the type of the response that the caller receives.
 	contentType string
 	// events counts the forwarded events.
@@ -37,8 +53,7 @@
 // forwardEvents forwards the events of a stream as they arrive. The response
 // header is sent together with the first event, so that the request can be
 // retried on another upstream until then.
-func (t *transaction) forwardEvents(ctx context.Context, h *fasthttp.ResponseHeader, body io.Reader, w *watchdog) attemptResult {
-	events := event.NewReader(body)
+func (t *transaction) forwardEvents(ctx context.Context, h *fasthttp.ResponseHeader, events eventReader, w *watchdog) attemptResult {
 	for n := 0; ; {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -57,14 +72,16 @@
 				t.recordSuccess(time.Now())
 			}
 		}
-		if e.HasID && t.stream.hasLastID && e.ID <= t.stream.lastID {
+		if t.stream.repeats(e) {
 			meter.Event("repeated_events")
 			continue
 		}
 		if e.HasData {
 			// Comments, which a stalled upstream may send to keep the connection
 			// open, are no progress.
-			w.recordEvent()
+			if !w.recordEvent(e) {
+				return attemptResult{status: attemptLost, outcome: fleet.Inconclusive, err: errReplaced, events: n}
+			}
 		}
 		if err := t.forwardEvent(h, e, events.Buffered()); err != nil {
 			t.abortCallerDisconnected()
--- a/gate/request/relay/transaction.go
+++ b/gate/request/relay/transaction.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/meter"
-	"parsleyroute.example/core/request/admit"
 	"parsleyroute.example/gate/conn/inlet"
 	"parsleyroute.example/gate/process/fleet"
 )
@@ -65,6 +66,12 @@
 	sentAt   time.Time
 	complete bool
 
+	// method and forwarded are the parts of the request that are the same in all attempts.
+	method, forwarded []byte
+	// standbys counts the standbys that run, and standbySends those that have been sent.
+	standbys     sync.WaitGroup
+	standbySends atomic.Int32
+
 	// tried lists the upstreams of earlier attempts. sends counts the attempts
 	// that sent the request, unsent those in which nothing was sent.
 	tried  []*fleet.Upstream
@@ -103,8 +110,11 @@
 	t.poolState.budget.RecordFirstAttempt(t.start)
 	t.stream.lastID, t.stream.hasLastID = t.info.LastEventID, t.info.HasLastEventID
 	ctx, cancel := t.requestContext()
+	// Standbys end with ctx.
+	defer t.standbys.Wait()
 	defer cancel()
 	defer t.returnUnsentRetry()
+	t.prepareRequest()
 	defer t.observeDuration()
 	t.parts = t.partKeys()
 	for {
@@ -144,19 +154,10 @@
 		t.respondUnavailable(ctx, nil)
 		return nil
 	}
-	// The queue serves higher priorities first, but 0 is the most urgent priority
-	// of a route or team.
-	item := &admit.Item{
-		Class: t.pool.Name, Priority: -t.priority(), Deadline: waitUntil, Late: t.late(now),
-		TryAcquire: func() bool {
-			u = t.relay.Picker.Pick(time.Now(), t.pool, t.tried)
-			return u != nil
-		},
-	}
-	if t.team != nil {
-		item.Team = t.team.Name
-	}
-	err := t.poolState.queue.Wait(ctx, item)
+	err := t.poolState.queue.Wait(ctx, t.queueItem(now, waitUntil, func() bool {
+		u = t.relay.Picker.Pick(time.Now(), t.pool, t.tried)
+		return u != nil
+	}))
 	t.queueWait += time.Since(now)
 	if err == nil {
 		return u
@@ -189,7 +190,7 @@
 		until = now.Add(t.route.LatencyObjective / outageWaitDivisor)
 		if t.route.Kind == core.RouteStream && !longOutage {
 			// A group of ranks that has lost a rank re-forms within seconds.
-			until = t.eventDeadline()
+			until = t.eventDeadline(t.stream.lastEventAt)
 		}
 	}
 	if until.Before(t.deadline) {
@@ -222,12 +223,13 @@
 	return ctx.Err() != nil || !time.Now().Before(t.deadline)
 }
 
-// eventDeadline returns when a queued stream request is refused:
-// eventWaitMargin before its caller stops waiting for the next event.
-func (t *transaction) eventDeadline() time.Time {
+// eventDeadline returns when a stream request that had its last event at the given time, zero
+// if it had none, no longer waits for a slot: eventWaitMargin before its caller stops
+// waiting for the next event.
+func (t *transaction) eventDeadline(lastEventAt time.Time) time.Time {
 	from := t.start
-	if !t.stream.lastEventAt.IsZero() {
-		from = t.stream.lastEventAt
+	if !lastEventAt.IsZero() {
+		from = lastEventAt
 	}
 	return from.Add(max(minEventWait, eventWaitObjectives*t.route.LatencyObjective, eventWaitGaps*t.route.MaxEventGap) - eventWaitMargin)
 }
@@ -251,7 +253,7 @@
 		}
 	case t.crashes >= maxCrashedSends:
 	case status == attemptNotRun || t.repeatable():
-		if t.sends < t.route.MaxAttempts && t.poolState.budget.TakeRetry(now, t.relay.Picker.Fleet.GateCount()) {
+		if t.sends+int(t.standbySends.Load()) < t.route.MaxAttempts && t.poolState.budget.TakeRetry(now, t.relay.Picker.Fleet.GateCount()) {
 			t.retryReserved = true
 			meter.Retry(cause)
 			t.log("retry", "cause", string(cause), "sends", t.sends, "tried", len(t.tried))
