Hold removed entries only after an outage in which entries lapse

Cause: any failed call to the store kept each upstream whose entry was removed for 2.8 s. A gate that follows a peer, in turn, makes no calls and dropped the upstreams whose entries had lapsed in a true outage.

Why it works: an entry lapses after three heartbeat intervals without a write, so no entry lapses before the store has been away for two of them. StoreOutage measures that from the last response to any call. A pull carries how long the peer holds removals. The spec of an outage used 300 ms, in which no entry can lapse; it now lasts 2.4 s and expects the same.

--- a/gate/process/view/entries.go
+++ b/gate/process/view/entries.go
@@ -8,18 +8,11 @@
 	"parsleyroute.example/core/process/meter"
 )
 
-const (
-	// outageHold is how long after the last failed call to the store an upstream
-	// stays in use although its entry was removed. In an outage of the store the
-	// entries of running upstreams expire; they are written again within about two
-	// seconds of its end. The rest covers the delay between two failed calls.
-	outageHold = 2800 * time.Millisecond
-	// massExpiryHold is how long upstreams stay in use if several entries, at least
-	// half of a pool, are removed together without a failed call. A short outage
-	// between two calls may be the cause. The hold is shorter than the time after
-	// which an upstream that leaves must get no more requests.
-	massExpiryHold = 1500 * time.Millisecond
-)
+// massExpiryHold is how long upstreams stay in use if several entries, at least half of a
+// pool, are removed together without an outage of the store. One between two calls may be
+// the cause. The hold is shorter than the time after which an upstream that leaves must get
+// no more requests.
+const massExpiryHold = 1500 * time.Millisecond
 
 // hold keeps an upstream in use after its entry was removed from the store.
 type hold struct {
@@ -27,8 +20,9 @@
 	until time.Time
 }
 
-// applyEntries updates the upstreams whose entries have changed.
-func (v *View) applyEntries(now time.Time, changed []string) {
+// applyEntries updates the upstreams whose entries have changed. Those that are removed may
+// come back for the time lapse.
+func (v *View) applyEntries(now time.Time, changed []string, lapse time.Duration) {
 	objects := v.kindStates[core.KindListedUpstream].objects
 	entries := maps.Clone(v.current.Upstreams)
 	removed := map[string]*core.ListedUpstream{}
@@ -58,7 +52,7 @@
 		entries[id] = entry
 	}
 	for id, entry := range removed {
-		if until := v.holdUntil(now, entry, removed, entries); until.After(now) {
+		if until := v.holdUntil(now, entry, removed, entries, lapse); until.After(now) {
 			v.holds[id] = hold{entry: entry, until: until}
 			v.DecisionLog.Log("upstream_lapsed", "upstream", id, "pool", entry.Pool, "hold", until.Sub(now))
 			continue
@@ -81,12 +75,12 @@
 // holdUntil returns the time until which an upstream stays in use after its entry
 // was removed. The entry may have expired only because the upstream could not
 // reach the store. The time is not after now if the upstream has really left.
-func (v *View) holdUntil(now time.Time, entry *core.ListedUpstream, removed, entries map[string]*core.ListedUpstream) time.Time {
+func (v *View) holdUntil(now time.Time, entry *core.ListedUpstream, removed, entries map[string]*core.ListedUpstream, lapse time.Duration) time.Time {
 	if entry.Draining {
 		return now
 	}
-	if until := v.lastStoreError.Add(outageHold); !v.lastStoreError.IsZero() && until.After(now) {
-		return until
+	if lapse > 0 {
+		return now.Add(lapse)
 	}
 	poolSize, removedCount := 0, 0
 	for id, other := range entries {
--- a/gate/process/view/follow.go
+++ b/gate/process/view/follow.go
@@ -100,7 +100,7 @@
 			failing = true
 			watching.Store(false)
 			meter.Event("store_errors")
-			v.enqueue(ctx, func() { v.lastStoreError = time.Now() })
+			v.outage.Failure(start)
 			_ = clock.Real{}.Sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
 			backoff = min(2*backoff, maxBackoff)
 			continue
@@ -109,11 +109,12 @@
 			v.DecisionLog.Log("store_regained", "kind", kind, "revision", revision, "unheard", time.Since(lastResponse))
 		}
 		lastResponse = time.Now()
+		v.outage.Success(lastResponse)
 		listed, failing, resuming, backoff = true, false, false, minBackoff
 		watching.Store(true)
 		if complete || len(objects) > 0 {
 			upTo := revision
-			v.enqueue(ctx, func() { v.apply(kind, objects, upTo, complete, "store") })
+			v.enqueue(ctx, func() { v.apply(kind, objects, upTo, complete, "store", v.outage.LapseTime(time.Now())) })
 		}
 	}
 }
--- a/gate/process/view/pack_test.go
+++ b/gate/process/view/pack_test.go
@@ -76,7 +76,7 @@
 	peer.init()
 	go runTasks(ctx, peer)
 	object := core.Object{Key: core.Key{Kind: core.KindConfig, Name: core.ActiveConfigName}, Version: 900, Value: largeConfig(30)}
-	peer.enqueue(ctx, func() { peer.apply(core.KindConfig, []core.Object{object}, 900, true, "test") })
+	peer.enqueue(ctx, func() { peer.apply(core.KindConfig, []core.Object{object}, 900, true, "test", 0) })
 	var version atomic.Uint64
 	w := &View{
 		Store: platform.NewStore(srv.Addr()), Decoder: platform.Decoder{}, ShouldWatch: func() bool { return false },
--- a/gate/process/view/pull.go
+++ b/gate/process/view/pull.go
@@ -19,6 +19,8 @@
 	pullDelay = 120 * time.Millisecond
 	// minPullInterval is the minimum time between the starts of two pulls.
 	minPullInterval = 250 * time.Millisecond
+	// maxLapse limits the time that a peer states for which entries may come back.
+	maxLapse = 5 * time.Second
 	// pullTimeout limits the duration of a pull.
 	pullTimeout = 700 * time.Millisecond
 )
@@ -100,7 +102,9 @@
 		v.DecisionLog.Log("state_pulled", "kind", s.GetKind(), "peer", addr, "from", k.revision, "to", s.GetRevision(), "objects", len(s.GetObjects()), "complete", s.GetComplete(),
 			"bytes", bytes, "took", took)
 		revision := s.GetRevision()
-		v.apply(k.kind, objectsFromWire(s), revision, s.GetComplete(), addr.String())
+		// The peer knows whether the store was away when it learned of a removal.
+		lapse := min(time.Duration(r.GetLapseMs())*time.Millisecond, maxLapse)
+		v.apply(k.kind, objectsFromWire(s), revision, s.GetComplete(), addr.String(), lapse)
 		k.revision = max(k.revision, revision)
 		v.publishRevisions()
 	}
@@ -118,7 +122,7 @@
 	}
 	responses := make(chan *wire.PullResponse, 1)
 	s.View.enqueue(ctx, func() {
-		resp := &wire.PullResponse{}
+		resp := &wire.PullResponse{LapseMs: uint32(s.View.outage.LapseTime(time.Now()).Milliseconds())}
 		for _, kind := range kinds {
 			if k := s.View.kindStates[kind]; k.synced && k.revision > known[string(kind)] {
 				delta := k.delta
--- a/gate/process/view/view.go
+++ b/gate/process/view/view.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -11,11 +12,13 @@
 	"parsleyroute.example/core/process/evlog"
 	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/core/wire"
+	"parsleyroute.example/gate/process/policy"
 )
 
 const (
 	// holdCheckInterval is how often the owner looks for expired holds.
 	holdCheckInterval = 100 * time.Millisecond
+	defaultHeartbeat  = 1200 * time.Millisecond
 )
 
 // kinds lists the kinds of objects that a view copies.
@@ -43,6 +46,8 @@
 	// listed all objects. The other gates pull changes from those that watch. nil
 	// means that the gate always watches.
 	ShouldWatch func() bool
+	// Heartbeat is the interval at which upstreams write their entries; zero means 1.2 s.
+	Heartbeat time.Duration
 	// OnNewRevision, if set, is called when a later revision is known.
 	OnNewRevision func()
 	// Pull requests from the peer at addr the changes after the revisions in r.
@@ -50,6 +55,7 @@
 
 	initOnce sync.Once
 	tasks    chan func()
+	outage   policy.StoreOutage
 	// watching is true for each kind whose watch runs without failures.
 	watching       [3]atomic.Bool
 	knownRevisions atomic.Pointer[[]*wire.KindRevision]
@@ -64,8 +70,6 @@
 	// lastEntries holds the latest entry of each upstream by ID, including
 	// upstreams that are no longer in use.
 	lastEntries map[string]*core.ListedUpstream
-	// lastStoreError is the time of the last failed call to the store.
-	lastStoreError time.Time
 	// behindSince is the time at which a peer first reported a later revision.
 	behindSince time.Time
 	lastPull    time.Time
@@ -74,6 +78,7 @@
 
 func (v *View) init() {
 	v.initOnce.Do(func() {
+		v.outage.Heartbeat = cmp.Or(v.Heartbeat, defaultHeartbeat)
 		v.tasks = make(chan func(), 64)
 		v.kindStates = map[core.Kind]*kindState{}
 		for _, k := range kinds {
@@ -118,8 +123,9 @@
 }
 
 // apply applies objects of a kind. If complete is set, they are all objects of the
-// kind as of the revision, otherwise they are changes.
-func (v *View) apply(kind core.Kind, objects []core.Object, revision uint64, complete bool, source string) {
+// kind as of the revision, otherwise they are changes. Entries that are removed may come
+// back for the time lapse.
+func (v *View) apply(kind core.Kind, objects []core.Object, revision uint64, complete bool, source string, lapse time.Duration) {
 	k := v.kindStates[kind]
 	first, previous := !k.synced && complete, k.revision
 	var changed []string
@@ -139,7 +145,7 @@
 	case core.KindConfig:
 		v.applyConfig(source)
 	case core.KindListedUpstream:
-		v.applyEntries(now, changed)
+		v.applyEntries(now, changed, lapse)
 	case core.KindZoneOut:
 		out := make(map[string]bool, len(k.objects))
 		for name := range k.objects {
--- a/gate/process/view/view_test.go
+++ b/gate/process/view/view_test.go
@@ -72,6 +72,10 @@
 	return w
 }
 
+// lapsingOutage is the shortest outage of the store in which an entry may lapse: two
+// heartbeat intervals of an upstream.
+const lapsingOutage = 2 * defaultHeartbeat
+
 func newStore() *meta.Server {
 	GinkgoHelper()
 	srv := &meta.Server{}
@@ -117,9 +121,9 @@
 		w := openView(newStore())
 		Eventually(w.version, "2s").Should(BeEquivalentTo(7))
 		old := core.Object{Key: core.Key{Kind: core.KindConfig, Name: core.ActiveConfigName}, Version: 1000, Value: []byte(`{"version":6}`)}
-		w.enqueue(context.Background(), func() { w.apply(core.KindConfig, []core.Object{old}, 1000, true, "test") })
+		w.enqueue(context.Background(), func() { w.apply(core.KindConfig, []core.Object{old}, 1000, true, "test", 0) })
 		older := core.Object{Key: old.Key, Version: 1, Value: []byte(`{"version":99}`)}
-		w.enqueue(context.Background(), func() { w.apply(core.KindConfig, []core.Object{older}, 1, true, "test") })
+		w.enqueue(context.Background(), func() { w.apply(core.KindConfig, []core.Object{older}, 1, true, "test", 0) })
 		Consistently(w.version, "200ms").Should(BeEquivalentTo(7))
 	})
 
@@ -183,13 +187,68 @@
 		w := openView(srv)
 		Eventually(w.has("a"), "2s").Should(BeTrue())
 		srv.SetFaults(meta.Faults{Status: 503})
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(lapsingOutage)
 		srv.Remove("servers", "a")
 		srv.SetFaults(meta.Faults{})
 		Consistently(w.has("a"), "1500ms", "20ms").Should(BeTrue())
 		Eventually(w.has("a"), "3s").Should(BeFalse())
 	})
 
+	// Guards against requests to an upstream that has left, because a call to the store
+	// failed shortly before: no entry lapses in so short a time.
+	It("drops an upstream that leaves beside failed calls", func() {
+		srv := newStore()
+		w := openView(srv)
+		Eventually(w.has("a"), "2s").Should(BeTrue())
+		for range 3 {
+			srv.SetFaults(meta.Faults{Status: 503})
+			time.Sleep(150 * time.Millisecond)
+			srv.SetFaults(meta.Faults{})
+			time.Sleep(300 * time.Millisecond)
+		}
+		srv.Remove("servers", "a")
+		Eventually(w.has("a"), "1s").Should(BeFalse())
+	})
+
+	// Guards against a gate that follows a peer and drops the upstreams whose entries have
+	// lapsed in an outage of the store, and against one whose own calls fail and which keeps
+	// an upstream that has left.
+	DescribeTable("judges removals that a peer reports by the peer's calls", func(peerOutage, ownOutage, kept bool) {
+		srv := newStore()
+		away := func(v *View) {
+			// The view has just had responses, so the outage ends in the future.
+			v.outage.Failure(time.Now())
+			v.outage.Success(time.Now().Add(lapsingOutage))
+		}
+		peer := openView(srv)
+		Eventually(peer.has("a"), "2s").Should(BeTrue())
+		w := openViewWith(srv, func() bool { return false })
+		w.Pull = func(ctx context.Context, _ netip.AddrPort, r *wire.PullRequest) (*wire.PullResponse, error) {
+			return Server{View: peer.View}.Pull(ctx, r)
+		}
+		Eventually(w.has("a"), "2s").Should(BeTrue())
+		if peerOutage {
+			away(peer.View)
+		}
+		if ownOutage {
+			away(w.View)
+		}
+		srv.Remove("servers", "a")
+		has := func() bool {
+			w.ObservePeer(context.Background(), netip.MustParseAddrPort("10.0.0.9:1"), peer.KnownRevisions())
+			return w.last().Upstreams["a"] != nil
+		}
+		if kept {
+			Consistently(has, "1200ms", "50ms").Should(BeTrue())
+		} else {
+			Eventually(has, "1s", "50ms").Should(BeFalse())
+		}
+	},
+		Entry("after an outage", true, false, true),
+		Entry("without one", false, false, false),
+		Entry("without one at the peer", false, true, false),
+	)
+
 	// Guards against requests to an upstream that has left: an entry that was
 	// removed 3 s after an outage was held for another 2 s (seen in a test
 	// run with seed 11886931467).
@@ -197,7 +256,8 @@
 		srv := newStore()
 		w := openView(srv)
 		Eventually(w.has("a"), "2s").Should(BeTrue())
-		w.enqueue(context.Background(), func() { w.lastStoreError = time.Now().Add(-3 * time.Second) })
+		w.outage.Failure(time.Now().Add(-3*time.Second - lapsingOutage))
+		w.outage.Success(time.Now().Add(-3 * time.Second))
 		srv.Remove("servers", "a")
 		Eventually(w.has("a"), "1s").Should(BeFalse())
 	})
@@ -212,7 +272,7 @@
 			{Key: core.Key{Kind: core.KindListedUpstream, Name: "a"}, Version: 500, Deleted: true},
 			{Key: core.Key{Kind: core.KindListedUpstream, Name: "b"}, Version: 501, Deleted: true},
 		}
-		w.enqueue(context.Background(), func() { w.apply(core.KindListedUpstream, removed, 501, false, "test") })
+		w.enqueue(context.Background(), func() { w.apply(core.KindListedUpstream, removed, 501, false, "test", 0) })
 		Consistently(w.has("a"), "800ms").Should(BeTrue())
 		Eventually(w.has("a"), "1200ms").Should(BeFalse())
 	})
@@ -250,7 +310,7 @@
 		DeferCleanup(cancel)
 		go runTasks(ctx, peer)
 		object := core.Object{Key: core.Key{Kind: core.KindConfig, Name: core.ActiveConfigName}, Version: 900, Value: []byte(`{"version":30}`)}
-		peer.enqueue(ctx, func() { peer.apply(core.KindConfig, []core.Object{object}, 900, true, "test") })
+		peer.enqueue(ctx, func() { peer.apply(core.KindConfig, []core.Object{object}, 900, true, "test", 0) })
 		w.Pull = func(ctx context.Context, _ netip.AddrPort, r *wire.PullRequest) (*wire.PullResponse, error) {
 			return Server{View: peer}.Pull(ctx, r)
 		}
--- a/gate/process/view/watch_test.go
+++ b/gate/process/view/watch_test.go
@@ -86,7 +86,7 @@
 		revision := srv.PutRaw("config", "main", largeConfig(8+i))
 		if i == versions-1 {
 			last := core.Object{Key: core.Key{Kind: core.KindConfig, Name: core.ActiveConfigName}, Version: revision, Value: largeConfig(8 + i)}
-			w.enqueue(context.Background(), func() { w.apply(core.KindConfig, []core.Object{last}, revision, false, "peer") })
+			w.enqueue(context.Background(), func() { w.apply(core.KindConfig, []core.Object{last}, revision, false, "peer", 0) })
 		}
 	}
 	g.Eventually(last.version.Load, "2s").Should(BeEquivalentTo(7 + versions))
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -128,7 +128,7 @@
 	}
 	g.view = &view.View{
 		Store: g.store, Decoder: platform.Decoder{}, DecisionLog: g.DecisionLog,
-		OnChange: g.publishState, Pull: pullFromPeer,
+		OnChange: g.publishState, Pull: pullFromPeer, Heartbeat: s.Heartbeat.Duration,
 		ShouldWatch:   func() bool { return g.gossip.ShouldWatch() },
 		OnNewRevision: func() { g.gossip.Announce() },
 	}
--- a/gate/serve/settings.go
+++ b/gate/serve/settings.go
@@ -38,8 +38,10 @@
 	Files  int `toml:"files"`
 	// Grace is the time between the termination signal and the kill signal.
 	Grace conf.Duration `toml:"grace"`
-	Retry Retry         `toml:"retry"`
-	Cold  Cold          `toml:"cold"`
+	// Heartbeat is the interval at which upstreams write their entries to the store.
+	Heartbeat conf.Duration `toml:"heartbeat"`
+	Retry     Retry         `toml:"retry"`
+	Cold      Cold          `toml:"cold"`
 }
 
 // Retry limits the retries in one pool by all gates together in any window to
@@ -59,8 +61,9 @@
 
 // Defaults of settings that a deployment may lack.
 const (
-	defaultGrace  = 8 * time.Second
-	defaultWindow = 10 * time.Second
+	defaultGrace     = 8 * time.Second
+	defaultHeartbeat = 1200 * time.Millisecond
+	defaultWindow    = 10 * time.Second
 	// defaultRatio and defaultBurst limit the retries if the platform sets no
 	// limit. The burst allows retries before many requests were counted.
 	defaultRatio = 0.2
@@ -72,6 +75,7 @@
 // applyDefaults sets the defaults of settings that are missing.
 func (s *Settings) applyDefaults() {
 	s.Grace.Duration = s.Grace.OrDefault(defaultGrace)
+	s.Heartbeat.Duration = s.Heartbeat.OrDefault(defaultHeartbeat)
 	s.Retry.Window.Duration = s.Retry.Window.OrDefault(defaultWindow)
 	if s.Retry.Ratio == 0 && s.Retry.Burst == 0 {
 		s.Retry.Ratio, s.Retry.Burst = defaultRatio, defaultBurst
@@ -87,8 +91,8 @@
 	switch {
 	case s.Memory < 0 || s.Files < 0:
 		return trace.BadParameter("settings memory and files must not be negative")
-	case s.Grace.Duration < 0:
-		return trace.BadParameter("setting grace must not be negative")
+	case s.Grace.Duration < 0 || s.Heartbeat.Duration < 0:
+		return trace.BadParameter("settings grace and heartbeat must not be negative")
 	case s.Retry.Ratio < 0 || s.Retry.Burst < 0 || s.Retry.Window.Duration < 0:
 		return trace.BadParameter("settings retry.ratio, retry.burst and retry.window must not be negative")
 	case s.Cold.Overshoot < 0 || s.Cold.Slack < 0:
