Send nothing to an upstream that says in a response that it leaves

Why it works: the header of each response of the process counts, also of refusals, errors, late responses and streams. What a process has said is kept by id and start time, so that an entry that lapses and comes back does not clear it and a later process is used. Heartbeats tell the other gates. If all upstreams leave, requests are refused at once. The stand-in of the workers can send the field.

--- a/core/errors.go
+++ b/core/errors.go
@@ -52,6 +52,7 @@
 	ReasonConflict           Reason = "conflict"
 	ReasonContained          Reason = "contained"
 	ReasonLimited            Reason = "limited"
+	ReasonPaused             Reason = "paused"
 )
 
 // Refusal is the error of a request that gets no response from an upstream.
--- a/core/protocol.go
+++ b/core/protocol.go
@@ -58,6 +58,8 @@
 	KeepAliveTimeout time.Duration
 	// RateLimit is the limit on requests that the response names.
 	RateLimit NamedRateLimit
+	// Leaving is set if the upstream states that it leaves.
+	Leaving bool
 }
 
 // NamedRateLimit is the limit on requests that an upstream names in a response.
--- a/fakes/process/worker/worker.go
+++ b/fakes/process/worker/worker.go
@@ -26,6 +26,8 @@
 	HeaderFailedUpstream = "At-Server"
 	HeaderLastEventID    = "Last-Event-Id"
 	HeaderServerLimit    = "Server-Limit"
+	HeaderServerLeaving  = "Server-Leaving"
+	HeaderRetryAfter     = "Retry-After"
 )
 
 // Script responds to one request.
@@ -37,12 +39,15 @@
 	// Script responds to requests; SetScript changes it.
 	Script Script
 
-	ln       net.Listener
-	mu       sync.Mutex
-	limit    string
-	requests []*ReceivedRequest
-	conns    map[net.Conn]bool
-	wg       sync.WaitGroup
+	ln    net.Listener
+	mu    sync.Mutex
+	limit string
+	// leaving is named in all responses, retryAfter in refusals.
+	leaving    bool
+	retryAfter string
+	requests   []*ReceivedRequest
+	conns      map[net.Conn]bool
+	wg         sync.WaitGroup
 }
 
 // ReceivedRequest is one request that the worker has received.
@@ -115,14 +120,36 @@
 	w.limit = limit
 }
 
-// limitField returns the header field line that names the limit, if there is one.
-func (w *Worker) limitField() string {
+// SetLeaving makes later responses say that the worker leaves.
+func (w *Worker) SetLeaving(leaving bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.limit == "" {
-		return ""
+	w.leaving = leaving
+}
+
+// SetRetryAfter changes the Retry-After field of later refusals with status 503; an empty
+// one is left out.
+func (w *Worker) SetRetryAfter(value string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retryAfter = value
+}
+
+// noticeFields returns the header field lines that say what the worker wants.
+func (w *Worker) noticeFields(status int) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fields := ""
+	if w.limit != "" {
+		fields += HeaderServerLimit + ": " + w.limit + "\r\n"
+	}
+	if w.leaving {
+		fields += HeaderServerLeaving + ": 1\r\n"
+	}
+	if w.retryAfter != "" && status == http.StatusServiceUnavailable {
+		fields += HeaderRetryAfter + ": " + w.retryAfter + "\r\n"
 	}
-	return HeaderServerLimit + ": " + w.limit + "\r\n"
+	return fields
 }
 
 // Requests returns copies of the requests received so far.
@@ -167,13 +194,13 @@
 // WriteResponse writes a complete response with the worker's signature.
 func (c *Conn) WriteResponse(req *ReceivedRequest, status int, body string) {
 	c.Printf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: sig-%s\r\n%sContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), HeaderAttemptID, req.AttemptID, HeaderSignature, c.worker.ID, c.worker.limitField(), len(body), body)
+		status, http.StatusText(status), HeaderAttemptID, req.AttemptID, HeaderSignature, c.worker.ID, c.worker.noticeFields(status), len(body), body)
 }
 
 // WriteNotExecuted writes a response that states that the request was not
 // executed. failedUpstream may be empty.
 func (c *Conn) WriteNotExecuted(req *ReceivedRequest, status int, failedUpstream string) {
-	extraHeader := c.worker.limitField()
+	extraHeader := c.worker.noticeFields(status)
 	if failedUpstream != "" {
 		extraHeader += HeaderFailedUpstream + ": " + failedUpstream + "\r\n"
 	}
@@ -184,7 +211,7 @@
 // WriteStreamHeader writes the header of a chunked event stream.
 func (c *Conn) WriteStreamHeader(req *ReceivedRequest) {
 	c.Printf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig-%s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		HeaderAttemptID, req.AttemptID, HeaderSignature, c.worker.ID, c.worker.limitField())
+		HeaderAttemptID, req.AttemptID, HeaderSignature, c.worker.ID, c.worker.noticeFields(http.StatusOK))
 }
 
 // WriteEvent writes one event of a stream as a chunk.
--- a/gate/process/fleet/fleet.go
+++ b/gate/process/fleet/fleet.go
@@ -46,6 +46,9 @@
 	// OnLimitDrop, if set, is called when a response to this gate names a limit and the
 	// upstream had none, or a much higher one.
 	OnLimitDrop func()
+	// OnDeparture, if set, is called when a response to this gate says that an upstream
+	// leaves.
+	OnDeparture func()
 	// OnRestart, if set, is called when another process runs in the place of an upstream.
 	OnRestart func(u *Upstream)
 
@@ -60,6 +63,13 @@
 	// time.Duration that the gap between two events of a stream may last.
 	gapMeters sync.Map
 	gapLimits sync.Map
+	noticeMu  sync.Mutex
+	// notices holds what processes have said in their responses. departures is set once one
+	// of them leaves, and pausesUntil is the end of the longest pause, in nanoseconds since
+	// processStart.
+	notices     map[Departure]notice
+	departures  atomic.Bool
+	pausesUntil atomic.Int64
 	// silences maps the name of a pool to its *policy.Silence.
 	silences sync.Map
 
@@ -130,7 +140,7 @@
 
 // ProcessState returns what the entries say of an upstream's process.
 func (f *Fleet) ProcessState(u *Upstream) ProcessState {
-	if u.Entry().Draining {
+	if u.Entry().Draining || u.leaving.Load() {
 		return ProcessLeaving
 	}
 	s := f.Snapshot()
@@ -164,6 +174,7 @@
 	if u == nil {
 		u = newUpstream(entry, &outlet.Pool{Addr: entry.Addr})
 		u.shares = policy.NewShareHistory(f.shareFrom)
+		f.restoreNotice(u)
 		f.updateShares(now, u)
 		u.Conns.SetMaxConnections(f.maxConnections(entry.Pool))
 		f.upstreams[id] = u
--- a/gate/process/fleet/pick.go
+++ b/gate/process/fleet/pick.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/gate/process/policy"
 )
 
 const (
@@ -114,7 +115,8 @@
 type PoolState int
 
 // An upstream is available unless it was replaced, is in backoff after lost
-// connections or belongs to a group that stands.
+// connections, belongs to a group that stands, leaves, or has asked for no requests for
+// some time.
 const (
 	// PoolAvailable: at least one upstream has free capacity.
 	PoolAvailable PoolState = iota
@@ -123,29 +125,46 @@
 	PoolLimited
 	// PoolFull: no available upstream has free capacity.
 	PoolFull
+	// PoolPaused: no upstream is available, and one has asked for no requests for some
+	// time.
+	PoolPaused
 	// PoolDown: no upstream is available.
 	PoolDown
+	// PoolLeaving: all upstreams leave.
+	PoolLeaving
 )
 
 // PoolState returns whether the pool has an available upstream and, if so,
 // whether one of them has free capacity that limits do not hold back.
 func (p *Picker) PoolState(now time.Time, pool *core.PoolConfig) PoolState {
-	state := PoolDown
 	upstreams := p.Fleet.Snapshot().Pools[pool.Name]
+	if len(upstreams) == 0 {
+		return PoolDown
+	}
+	state := PoolLeaving
 	capacity := p.capacityFunc(now, pool, upstreams)
 	cold := p.Fleet.coldQuota(pool)
 	for _, u := range upstreams {
-		if u.unavailable(now) || !p.Fleet.admitsRequests(u) {
-			continue
-		}
-		switch {
-		case u.Load() >= capacity(u):
-			state = min(state, PoolFull)
-		case u.free(now, cold) > 0:
-			return PoolAvailable
-		default:
-			state = PoolLimited
+		if state = min(state, p.upstreamState(now, u, capacity, cold)); state == PoolAvailable {
+			return state
 		}
 	}
 	return state
 }
+
+// upstreamState returns the state of a pool that has only the given upstream.
+func (p *Picker) upstreamState(now time.Time, u *Upstream, capacity func(*Upstream) int, cold policy.Quota) PoolState {
+	switch {
+	case u.leaving.Load():
+		return PoolLeaving
+	case u.broken(now) || !p.Fleet.admitsRequests(u):
+		return PoolDown
+	case u.paused(now):
+		return PoolPaused
+	case u.Load() >= capacity(u):
+		return PoolFull
+	case u.free(now, cold) > 0:
+		return PoolAvailable
+	}
+	return PoolLimited
+}
--- a/gate/process/fleet/upstream.go
+++ b/gate/process/fleet/upstream.go
@@ -78,6 +78,11 @@
 	slowdown atomic.Uint64
 	// replaced is set once another process has responded at the address.
 	replaced atomic.Bool
+	// leaving is set once the process has said that it leaves. pausedUntil is the end of
+	// the time for which it wants no requests of this gate, in nanoseconds since
+	// processStart.
+	leaving     atomic.Bool
+	pausedUntil atomic.Int64
 	// backoffUntil is the end of the backoff after lost connections, in
 	// nanoseconds since processStart, so that wall clock steps do not matter.
 	backoffUntil atomic.Int64
@@ -182,9 +187,15 @@
 	return u.failures / (u.total + priorOutcomes)
 }
 
-// unavailable reports whether the upstream gets no requests because it was
-// replaced, is in backoff after lost connections or is silent.
+// unavailable reports whether the upstream gets no requests because it was replaced, is in
+// backoff after lost connections, is silent, leaves or has asked for none for some time.
 func (u *Upstream) unavailable(now time.Time) bool {
+	return u.leaving.Load() || u.paused(now) || u.broken(now)
+}
+
+// broken reports whether the upstream gets no requests because it was replaced, is in
+// backoff after lost connections or is silent.
+func (u *Upstream) broken(now time.Time) bool {
 	return u.replaced.Load() || int64(now.Sub(processStart)) < u.backoffUntil.Load() || u.leftAlone(now)
 }
 
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -76,6 +76,9 @@
 	// Limits returns the limits that upstreams have named to this gate, in random order.
 	// It may be nil.
 	Limits func() []fleet.UpstreamLimit
+	// Departures returns the upstreams that are known to leave, in random order. It may be
+	// nil.
+	Departures func() []fleet.Departure
 	// Containment holds the crashes of upstreams that this gate knows. It may be nil.
 	Containment *policy.Containment
 	// KnownRevisions returns the revisions of the store that this gate knows.
@@ -208,6 +211,7 @@
 	// Map iteration order is random, so the omitted loads vary between heartbeats.
 	b.Loads = b.Loads[:min(len(b.Loads), maxLoads)]
 	g.addLimits(b)
+	g.addDepartures(b)
 	g.addCrashes(b)
 	recipients, live := g.selectPeers(sequence, maxPeers)
 	b.Peers = live
--- a/gate/process/gossip/gossip_test.go
+++ b/gate/process/gossip/gossip_test.go
@@ -425,3 +425,20 @@
 	send()
 	g.Consistently(func() bool { return a.RemoteLimits()[0].At.After(frozen) }, "300ms", "5ms").Should(BeFalse())
 }
+
+// Guards against gates that go on sending to an upstream which has told another gate that it
+// leaves, also if they start after that gate has ended.
+func TestDeparturesReachOtherGates(t *testing.T) {
+	g := NewWithT(t)
+	a, b, c := newGossip(t, "a"), newGossip(t, "bb"), newGossip(t, "ccc")
+	a.Seeds, c.Seeds = append(a.Seeds, b.Listen), append(c.Seeds, b.Listen)
+	departed := []fleet.Departure{{Key: 7, StartTime: 3}}
+	a.Departures = func() []fleet.Departure { return departed }
+	b.Departures = b.RemoteDepartures
+	startGossip(t, b)
+	stop := startGossip(t, a)
+	g.Eventually(b.RemoteDepartures, "3s", "10ms").Should(ContainElement(departed[0]))
+	stop()
+	startGossip(t, c)
+	g.Eventually(c.RemoteDepartures, "3s", "10ms").Should(ContainElement(departed[0]))
+}
--- a/gate/request/relay/answer.go
+++ b/gate/request/relay/answer.go
@@ -125,6 +125,7 @@
 			return core.ResponseInfo{}, trace.BadParameter("the response on a reused connection has no id: status %d", h.StatusCode())
 		}
 		meter.Event("stale_answers")
+		t.observeNotice(c.upstream, h, info)
 		// "answers" is the id of the request that the response answers.
 		t.log("stale_answer", "answers", info.AttemptID)
 		n, err := io.Copy(io.Discard, io.LimitReader(c.conn.Body(h, t.method), maxStaleBody))
--- a/gate/request/relay/crash_test.go
+++ b/gate/request/relay/crash_test.go
@@ -254,6 +254,16 @@
 	}
 }
 
+// anyWorker returns one of the workers.
+func (s *crashSystem) anyWorker() *worker.Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.workers {
+		return w
+	}
+	return nil
+}
+
 // received returns the number of requests that have reached a worker.
 func (s *crashSystem) received() int {
 	s.mu.Lock()
--- a/gate/request/relay/limit.go
+++ b/gate/request/relay/limit.go
@@ -14,11 +14,6 @@
 // upstream when a request has waited for this gate's share of a limit.
 const limitReserve = 0.5
 
-// observeHeader records what the header of a response says of its upstream.
-func (t *transaction) observeHeader(u *fleet.Upstream, h *fasthttp.ResponseHeader, info core.ResponseInfo) {
-	t.observeLimit(u, h, info)
-}
-
 // observeLimit records the limit that a response of the upstream names, or that it
 // names none.
 func (t *transaction) observeLimit(u *fleet.Upstream, h *fasthttp.ResponseHeader, info core.ResponseInfo) {
--- a/gate/request/relay/limit_test.go
+++ b/gate/request/relay/limit_test.go
@@ -39,6 +39,7 @@
 	relay   *relay.Relay
 	fleet   *fleet.Fleet
 	workers []*worker.Worker
+	config  *core.Config
 }
 
 // startLimitSystem starts a gate and a worker for each limit; an empty limit is not named.
@@ -67,6 +68,7 @@
 		s.workers = append(s.workers, w)
 		entries[w.ID] = &core.ListedUpstream{ID: w.ID, Pool: "p", Addr: w.Addr(), Zone: "z", MaxSequences: 8}
 	}
+	s.config = config
 	s.fleet.Update(time.Now(), entries, nil, config)
 	table := route.Compile(config)
 	r := &relay.Relay{
--- /dev/null
+++ b/gate/request/relay/notice_test.go
@@ -0,0 +1,110 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core"
+	"parsleyroute.example/fakes/process/worker"
+)
+
+// Guards against requests to a worker that has said in a response of any kind that it
+// leaves, while its entry says that it is ready.
+func TestLeavingWorkerGetsNoRequests(t *testing.T) {
+	respond := func(status int) worker.Script {
+		return func(c *worker.Conn, req *worker.ReceivedRequest) { c.WriteResponse(req, status, "done") }
+	}
+	stale := func(c *worker.Conn, req *worker.ReceivedRequest) {
+		// A second response to an earlier request, and then one that does not say so.
+		c.WriteResponse(&worker.ReceivedRequest{AttemptID: "other"}, http.StatusOK, "late")
+		c.Printf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 2\r\n\r\nok", worker.HeaderAttemptID, req.AttemptID, worker.HeaderSignature)
+	}
+	for name, script := range map[string]worker.Script{
+		"a response":         respond(http.StatusOK),
+		"an error":           respond(http.StatusInternalServerError),
+		"a refusal":          refuseRequest,
+		"a refusal with 429": func(c *worker.Conn, req *worker.ReceivedRequest) { c.WriteNotExecuted(req, 429, "") },
+		"a late response":    stale,
+		"the head of a response that is lost": func(c *worker.Conn, req *worker.ReceivedRequest) {
+			c.WriteStreamHeader(req)
+			c.Disconnect()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			s := startLimitSystem(t, "", "")
+			s.workers[0].SetScript(script)
+			s.workers[0].SetLeaving(true)
+			for range 30 {
+				s.send(t, 100, 10*time.Millisecond)
+			}
+			g.Expect(len(s.workers[0].Requests())).To(Equal(1))
+			g.Expect(len(s.workers[1].Requests())).To(BeNumerically(">=", 29))
+		})
+	}
+}
+
+// Guards against streams that go to a worker whose head of a stream has said that it leaves.
+func TestLeavingWorkerGetsNoStreams(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := startCrashSystem(t, 2)
+	leaving := s.anyWorker()
+	leaving.SetLeaving(true)
+	for range 20 {
+		g.Expect(s.send("f:40,1:500")).To(Equal(http.StatusOK))
+	}
+	g.Expect(len(leaving.Requests())).To(Equal(1))
+}
+
+// Guards against a worker that is used again after its entry has lapsed and come back, and
+// against a later process with the same id that is not used.
+func TestLeavingWorkerComesBack(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := startLimitSystem(t, "", "")
+	w := s.workers[0]
+	list := func(born int64) {
+		entries := map[string]*core.ListedUpstream{}
+		if born > 0 {
+			entries[w.ID] = &core.ListedUpstream{ID: w.ID, Pool: "p", Addr: w.Addr(), Zone: "z", MaxSequences: 8, StartTime: born}
+		}
+		s.fleet.Update(time.Now(), entries, nil, s.config)
+	}
+	list(5)
+	w.SetLeaving(true)
+	s.send(t, 100, 10*time.Millisecond)
+	list(0)
+	list(5)
+	responses := s.send(t, 20, 100*time.Millisecond)
+	g.Expect(len(w.Requests())).To(Equal(1))
+	for _, r := range responses {
+		g.Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(r.took).To(BeNumerically("<", 50*time.Millisecond), "all upstreams leave")
+	}
+	w.SetLeaving(false)
+	list(6)
+	s.send(t, 100, 10*time.Millisecond)
+	g.Expect(len(w.Requests())).To(Equal(2))
+}
+
+// Guards against state that grows with the processes that leave or pause.
+func TestManyNotices(t *testing.T) {
+	g := NewWithT(t)
+	s := startLimitSystem(t, "")
+	now := time.Now()
+	for i := range 3000 {
+		id := fmt.Sprintf("i-%d", i)
+		entries := map[string]*core.ListedUpstream{id: {ID: id, Pool: "p", Addr: s.workers[0].Addr(), StartTime: int64(i + 1)}}
+		s.fleet.Update(now.Add(time.Duration(i)), entries, nil, s.config)
+		u := s.fleet.Snapshot().ByID[id]
+		s.fleet.ObserveLeaving(now.Add(time.Duration(i)), u)
+		s.fleet.ObservePause(now.Add(time.Duration(i)), u, time.Minute)
+	}
+	g.Expect(s.fleet.NoticeCount()).To(BeNumerically("<=", 1024))
+}
--- a/gate/request/relay/refuse.go
+++ b/gate/request/relay/refuse.go
@@ -31,12 +31,13 @@
 	refusal, ok := core.AsRefusal(err)
 	now := time.Now()
 	state := t.relay.Picker.PoolState(now, t.pool)
+	outlook := t.relay.Picker.Outlook(now, t.pool, t.tried)
 	share, limited := t.relay.Picker.NextShare(now, t.pool, t.tried, t.poolState.queue.Len())
 	limited = limited && state == fleet.PoolLimited && !t.timedOut(ctx)
 	switch {
 	case limited:
 		reason, message = core.ReasonLimited, "all upstreams of the service get as many requests as they take"
-	case state == fleet.PoolDown:
+	case state >= fleet.PoolDown:
 		reason, message = core.ReasonNoUpstream, "no upstream of the service is in use"
 	case t.timedOut(ctx):
 		reason, message = core.ReasonDeadline, "the deadline passed before a slot became free"
@@ -51,6 +52,9 @@
 		t.refuseLimited(now, share, message)
 		return
 	}
+	if t.refusePaused(now, outlook) {
+		return
+	}
 	t.refuseShortage(reason, message)
 }
 
--- a/gate/request/relay/transaction.go
+++ b/gate/request/relay/transaction.go
@@ -147,19 +147,15 @@
 // acquire waits for an upstream with a free slot. If there is none in time, it
 // writes the final response and returns nil.
 func (t *transaction) acquire(ctx context.Context) *fleet.Upstream {
-	var u *fleet.Upstream
 	now := time.Now()
 	waitUntil, ok := t.awaitShare(now, t.queueDeadline(now))
 	if !ok {
 		t.respondUnavailable(ctx, nil)
 		return nil
 	}
-	err := t.poolState.queue.Wait(ctx, t.queueItem(now, waitUntil, func() bool {
-		u = t.relay.Picker.Pick(time.Now(), t.pool, t.tried)
-		return u != nil
-	}))
+	u, err := t.acquireUpstream(ctx, now, waitUntil)
 	t.queueWait += time.Since(now)
-	if err == nil {
+	if u != nil {
 		return u
 	}
 	t.respondUnavailable(ctx, err)
@@ -269,7 +265,9 @@
 		// A response may also have arrived that was not accepted.
 		t.fail(ctx, cause, "the upstream's response was lost")
 	default:
-		t.refuseShortage(cause, "none of the upstreams tried ran the request")
+		if !t.refusePaused(now, t.relay.Picker.Outlook(now, t.pool, nil)) {
+			t.refuseShortage(cause, "none of the upstreams tried ran the request")
+		}
 	}
 	return false
 }
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -90,6 +90,7 @@
 		g.fleet.UpdateRemoteLoads(g.gossip.RemoteLoads(), slowdowns, g.gossip.RemoteSilent())
 		lastUpdate = time.Now()
 		g.fleet.LearnLimits(lastUpdate, g.gossip.RemoteLimits())
+		g.fleet.LearnDepartures(lastUpdate, g.gossip.RemoteDepartures())
 	}
 	for {
 		select {
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -124,7 +124,7 @@
 	g.store = platform.NewStore(s.Store)
 	g.fleet = &fleet.Fleet{
 		ColdLimit:   fleet.ColdLimit{Overshoot: s.Cold.Overshoot, Slack: s.Cold.Slack},
-		DecisionLog: g.DecisionLog, OnLoadChange: func() { g.gossip.LoadChanged() }, OnLimitDrop: func() { g.gossip.Announce() },
+		DecisionLog: g.DecisionLog, OnLoadChange: func() { g.gossip.LoadChanged() }, OnLimitDrop: func() { g.gossip.Announce() }, OnDeparture: func() { g.gossip.Announce() },
 	}
 	g.view = &view.View{
 		Store: g.store, Decoder: platform.Decoder{}, DecisionLog: g.DecisionLog,
@@ -134,7 +134,7 @@
 	}
 	g.gossip = &gossip.Gossip{
 		Listen: s.Peers, Seeds: s.Seeds, Instance: s.Instance, Zone: s.Zone, Incarnation: start.Incarnation(),
-		DecisionLog: g.DecisionLog, Loads: g.fleet.LocalLoads, Progress: g.fleet.LocalProgress, Silent: g.fleet.LocalSilent, Limits: g.fleet.LocalLimits, Slowdowns: g.slowRanks, KnownRevisions: g.view.KnownRevisions, Leaving: g.draining.Load, Watching: g.view.Watching,
+		DecisionLog: g.DecisionLog, Loads: g.fleet.LocalLoads, Progress: g.fleet.LocalProgress, Silent: g.fleet.LocalSilent, Limits: g.fleet.LocalLimits, Departures: g.fleet.Departures, Slowdowns: g.slowRanks, KnownRevisions: g.view.KnownRevisions, Leaving: g.draining.Load, Watching: g.view.Watching,
 		OnHeartbeat: func(addr netip.AddrPort, b *wire.Beat) {
 			g.view.ObservePeer(base, addr, b.GetKnown())
 			select {
