Send nothing to an upstream for the time of its Retry-After

Nothing read that field of a worker.

Why it works: such an upstream is not picked until the longest time that it has named is over. Requests go to others. With none left, one that cannot wait until then is refused at once, also from the queue, with that time and up to a tenth more, so that callers do not come back together. The other gates are not told, since the worker speaks to one machine.

--- a/core/protocol.go
+++ b/core/protocol.go
@@ -60,6 +60,9 @@
 	RateLimit NamedRateLimit
 	// Leaving is set if the upstream states that it leaves.
 	Leaving bool
+	// RetryAfter is how long the upstream wants no more requests, if the response is a
+	// refusal; zero if it does not say so.
+	RetryAfter time.Duration
 }
 
 // NamedRateLimit is the limit on requests that an upstream names in a response.
--- a/gate/request/relay/notice.go
+++ b/gate/request/relay/notice.go
@@ -32,6 +32,9 @@
 	if info.Leaving {
 		t.relay.Picker.Fleet.ObserveLeaving(now, u)
 	}
+	if info.RetryAfter > 0 {
+		t.relay.Picker.Fleet.ObservePause(now, u, info.RetryAfter)
+	}
 }
 
 // refusePaused refuses a request that has not run, if all upstreams that it could be sent to
--- a/gate/request/relay/notice_test.go
+++ b/gate/request/relay/notice_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,6 +95,102 @@
 	g.Expect(len(w.Requests())).To(Equal(2))
 }
 
+// Guards against requests to a worker that has asked for none for some time, and against a
+// refusal while another one takes requests.
+func TestPausedWorkerGetsNoRequests(t *testing.T) {
+	for retryAfter, wanted := range map[string]struct {
+		min, max int
+	}{
+		"0.4":  {1, 12},
+		"1e9":  {1, 1},
+		"1e99": {1, 1},
+		// These ask for nothing.
+		"0":    {10, 100},
+		"-3":   {10, 100},
+		"soon": {10, 100},
+		"NaN":  {10, 100},
+		"Sat, 05 Dec 2026 10:00:03 GMT\r\nDate: Sat, 05 Dec 2026 10:00:00 GMT": {1, 1},
+		"Sat, 05 Dec 2026 10:00:03 GMT":                                        {10, 100},
+	} {
+		t.Run(retryAfter, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			s := startLimitSystem(t, "", "")
+			w := s.workers[0]
+			w.SetScript(refuseRequest)
+			w.SetRetryAfter(retryAfter)
+			for _, r := range s.send(t, 50, time.Second) {
+				g.Expect(r.status).To(Equal(http.StatusOK))
+			}
+			requests := w.Requests()
+			g.Expect(len(requests)).To(And(BeNumerically(">=", wanted.min), BeNumerically("<=", wanted.max)))
+			if pause, err := strconv.ParseFloat(retryAfter, 64); err == nil && pause > 0 && pause < 1 {
+				for i := range requests[1:] {
+					since := requests[i+1].ReceivedAt.Sub(requests[i].ReceivedAt)
+					g.Expect(since < 20*time.Millisecond || since > time.Duration(pause*float64(time.Second))).To(BeTrue(), "%v after a refusal", since)
+				}
+			}
+		})
+	}
+}
+
+// Guards against requests that wait for the only worker although it wants none for longer
+// than they can wait, and against callers that are asked to come back too early.
+func TestOnlyWorkerPauses(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := startLimitSystem(t, "")
+	w := s.workers[0]
+	w.SetScript(refuseRequest)
+	w.SetRetryAfter("0.6")
+	start := time.Now()
+	responses := s.send(t, 40, 300*time.Millisecond)
+	for _, r := range responses {
+		g.Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(r.took).To(BeNumerically("<", 80*time.Millisecond))
+		after, err := strconv.ParseFloat(r.retryAfter, 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(after).To(And(BeNumerically(">", 0.25), BeNumerically("<=", 0.7)))
+	}
+	g.Expect(len(w.Requests())).To(Equal(1))
+	// A request that can wait for the end of the pause does.
+	w.SetScript(func(c *worker.Conn, req *worker.ReceivedRequest) { c.WriteResponse(req, http.StatusOK, "done") })
+	time.Sleep(time.Until(start.Add(560 * time.Millisecond)))
+	g.Expect(s.send(t, 100, 10*time.Millisecond)[0].status).To(Equal(http.StatusOK))
+}
+
+// Guards against requests that go on waiting when the only worker asks for none.
+func TestPauseEndsWaiting(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := startLimitSystem(t, "")
+	w := s.workers[0]
+	w.SetRetryAfter("5")
+	var mu sync.Mutex
+	n := 0
+	w.SetScript(func(c *worker.Conn, req *worker.ReceivedRequest) {
+		mu.Lock()
+		n++
+		first := n == 1
+		mu.Unlock()
+		if first {
+			time.Sleep(40 * time.Millisecond)
+			refuseRequest(c, req)
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+		c.WriteResponse(req, http.StatusOK, "done")
+	})
+	refused := 0
+	for _, r := range s.send(t, 2000, 20*time.Millisecond) {
+		if r.status == http.StatusServiceUnavailable {
+			refused++
+			g.Expect(r.took).To(BeNumerically("<", 110*time.Millisecond), "the worker has 16 places, and a request waits 130 ms for one")
+		}
+	}
+	g.Expect(refused).To(Equal(40 - 16 + 1))
+}
+
 // Guards against state that grows with the processes that leave or pause.
 func TestManyNotices(t *testing.T) {
 	g := NewWithT(t)
