Do not add an object of a list whose later deletion is known

Cause: an object that was not known was added whatever its version. A list that is answered after a pull from a peer brought back what the pull had reported as deleted, upstreams and evacuations alike.

Why it works: a kind keeps the revision as of which all objects were known. An unknown object of that version or an earlier one, or with a known later deletion, was deleted.

--- a/gate/process/view/kind.go
+++ b/gate/process/view/kind.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"parsleyroute.example/core"
@@ -14,8 +15,12 @@
 	objects map[string]core.Object
 	// revision is the highest version of a received object or change, or a higher
 	// revision that a peer has sent or that a complete list with a deletion has. All
-	// changes up to it are known.
+	// changes up to it are known, so objects of a list that are newer than the list do not
+	// count.
 	revision uint64
+	// completeTo is a revision as of which all objects were known. An unknown object of that
+	// version or an earlier one has been deleted.
+	completeTo uint64
 	// synced is set once a complete list was applied.
 	synced bool
 	// deletions holds the versions of deletions by object name. Deletions with
@@ -38,18 +43,27 @@
 		for _, v := range k.deletions {
 			k.compactedTo = max(k.compactedTo, v)
 		}
+		if k.synced {
+			k.completeTo = max(k.completeTo, k.compactedTo)
+		}
 		clear(k.deletions)
 	}
 	if k.deletions == nil {
 		k.deletions = map[string]uint64{}
 	}
-	k.deletions[name] = version
+	k.deletions[name] = max(k.deletions[name], version)
+}
+
+// isDeleted reports whether an object that is not known was deleted after the given version.
+// A list may be answered late and bring it back otherwise.
+func (k *kindState) isDeleted(name string, version uint64) bool {
+	return version <= k.completeTo || version <= k.deletions[name]
 }
 
 // replace applies a complete list as of the revision and returns the names of the
 // changed objects.
 func (k *kindState) replace(objects []core.Object, revision uint64) []string {
-	changed := k.merge(objects)
+	changed := k.mergeUpTo(objects, revision)
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = true
@@ -66,19 +80,28 @@
 		k.compactedTo = max(k.compactedTo, revision)
 	}
 	k.synced = true
+	k.completeTo = max(k.completeTo, revision)
 	return changed
 }
 
 // merge applies changes and returns the names of the changed objects.
 func (k *kindState) merge(objects []core.Object) []string {
+	return k.mergeUpTo(objects, math.MaxUint64)
+}
+
+// mergeUpTo applies changes, of which all up to the revision are among them or known.
+func (k *kindState) mergeUpTo(objects []core.Object, revision uint64) []string {
 	var changed []string
 	for _, o := range objects {
 		current, ok := k.objects[o.Name]
-		k.revision = max(k.revision, o.Version)
+		k.revision = max(k.revision, min(o.Version, revision))
 		switch {
-		case o.Deleted && ok && o.Version >= current.Version:
+		case o.Deleted && !ok:
+			k.recordDeletion(o.Name, o.Version)
+			continue
+		case o.Deleted && o.Version >= current.Version:
 			k.recordDeletion(o.Name, o.Version)
-		case !o.Deleted && (!ok || o.Version > current.Version):
+		case !o.Deleted && (ok && o.Version > current.Version || !ok && !k.isDeleted(o.Name, o.Version)):
 			k.objects[o.Name] = o
 		default:
 			continue
