Count what a woken gate knows as older by its silence

Cause: ages in heartbeats are measured with the sender's steady clock, which does not count the time of a suspension.

Why it works: after a silence of a peer of more than 0.5 s, what it states to be from before the end of the silence counts as older by the silence, for limits, crashes, successes and events of groups alike.

--- a/gate/process/crash/crash.go
+++ b/gate/process/crash/crash.go
@@ -29,11 +29,11 @@
 
 func ageMS(now, at time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds())) }
 
-// Learn records reported crashes and successes, whose ages refer to the time at, and
-// returns the crashes that were unknown. Successes come first, so that a crash without
-// suspect parts is not recorded.
-func Learn(c *policy.Containment, at time.Time, crashes []*wire.UpstreamCrash, successes []*wire.PartSuccess) []policy.Crash {
-	before := func(ms uint32) time.Time { return at.Add(-time.Duration(ms) * time.Millisecond) }
+// Learn records reported crashes and successes, and returns the crashes that were unknown.
+// timeOf returns the time to which an age refers. Successes come first, so that a crash
+// without suspect parts is not recorded.
+func Learn(c *policy.Containment, timeOf func(age time.Duration) time.Time, crashes []*wire.UpstreamCrash, successes []*wire.PartSuccess) []policy.Crash {
+	before := func(ms uint32) time.Time { return timeOf(time.Duration(ms) * time.Millisecond) }
 	for _, s := range successes {
 		c.Success(before(s.GetAgeMs()), s.GetPart())
 	}
--- a/gate/process/crash/saver.go
+++ b/gate/process/crash/saver.go
@@ -98,7 +98,8 @@
 	now := time.Now()
 	// Clocks may differ between machines.
 	age := max(0, now.Sub(time.UnixMilli(r.GetSavedUnixMs())))
-	learned := Learn(s.Containment, now.Add(-age), r.GetCrashes(), r.GetSuccesses())
+	saved := now.Add(-age)
+	learned := Learn(s.Containment, func(age time.Duration) time.Time { return saved.Add(-age) }, r.GetCrashes(), r.GetSuccesses())
 	s.saved = suspicions(r.GetCrashes(), r.GetSuccesses())
 	s.DecisionLog.Log("crash_record_read", "version", o.Version, "crashes", len(r.GetCrashes()), "learned", len(learned), "record_age", age)
 	if len(learned) > 0 && s.OnLearn != nil {
--- a/gate/process/gossip/crashes.go
+++ b/gate/process/gossip/crashes.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"net/netip"
 	"time"
 
 	"parsleyroute.example/core/wire"
@@ -23,12 +24,15 @@
 }
 
 // recordCrashes records the crashes and successes in a heartbeat of a peer.
-func (g *Gossip) recordCrashes(b *wire.Beat) {
+func (g *Gossip) recordCrashes(addr netip.AddrPort, b *wire.Beat) {
 	if g.Containment == nil {
 		return
 	}
+	g.mu.Lock()
+	sender := *g.peers[addr]
+	g.mu.Unlock()
 	now := time.Now()
-	learned := crash.Learn(g.Containment, now, b.GetCrashes(), b.GetSuccesses())
+	learned := crash.Learn(g.Containment, sender.timeOf, b.GetCrashes(), b.GetSuccesses())
 	for _, k := range learned {
 		g.DecisionLog.Log("crash_learned", "crash", k.ID, "from", b.GetInstance(), "crash_age", now.Sub(k.At), "parts", len(k.Parts))
 	}
--- a/gate/process/gossip/crashes_test.go
+++ b/gate/process/gossip/crashes_test.go
@@ -1,11 +1,14 @@
 package gossip_test
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
+	"parsleyroute.example/core/wire"
 	"parsleyroute.example/gate/process/gossip"
 	"parsleyroute.example/gate/process/policy"
 )
@@ -79,3 +82,39 @@
 	g.Eventually(func() int { return len(b.Containment.Crashes(time.Now())) }, "3s").Should(BeNumerically(">", 0))
 	g.Eventually(func() int { return len(b.RemoteLoads()) }, "3s").Should(BeNumerically(">", 0))
 }
+
+// Guards against a part that crashes upstreams and is cleared by a success from before the
+// crash, which a gate reports as new when it wakes whose clock stood still.
+func TestSuccessOfWokenGate(t *testing.T) {
+	g := NewWithT(t)
+	a := newGossip(t, "a")
+	a.Containment = &policy.Containment{}
+	startGossip(t, a)
+	conn, err := net.Dial("udp", a.Listen.String())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = conn.Close() })
+	var sequence uint64
+	send := func(successes ...*wire.PartSuccess) {
+		sequence++
+		data, err := proto.Marshal(&wire.Beat{Instance: "frozen", Incarnation: 1, Sequence: sequence, Address: conn.LocalAddr().String(), Successes: successes})
+		g.Expect(err).NotTo(HaveOccurred())
+		// The first datagrams may arrive before the gate listens.
+		_, _ = conn.Write(data)
+	}
+	g.Eventually(func() bool { send(); return a.Presence("frozen").Known }, "3s", "20ms").Should(BeTrue())
+	time.Sleep(100 * time.Millisecond) // until the last datagram has arrived
+	const part = 9
+	time.Sleep(800 * time.Millisecond)
+	a.Containment.Observe(policy.Crash{ID: 1, Upstream: 1, Parts: []uint64{part}, At: time.Now()})
+	time.Sleep(20 * time.Millisecond)
+	contained := func() bool {
+		return a.Containment.Check(time.Now(), policy.Request{Parts: []uint64{part}}, policy.Position{Gates: 1}).Contained
+	}
+	g.Expect(contained()).To(BeTrue())
+	send(&wire.PartSuccess{Part: part, AgeMs: 5})
+	time.Sleep(100 * time.Millisecond)
+	g.Expect(a.Containment.Crashes(time.Now())).To(HaveLen(1), "the crash still has a suspect part")
+	time.Sleep(50 * time.Millisecond)
+	send(&wire.PartSuccess{Part: part, AgeMs: 5})
+	g.Eventually(func() []policy.Crash { return a.Containment.Crashes(time.Now()) }, "1s").Should(BeEmpty(), "a success since it woke")
+}
--- a/gate/process/gossip/gossip.go
+++ b/gate/process/gossip/gossip.go
@@ -294,7 +294,7 @@
 			continue
 		}
 		if g.recordHeartbeat(addr, b) {
-			g.recordCrashes(b)
+			g.recordCrashes(addr, b)
 			g.OnHeartbeat(addr, b)
 		}
 	}
--- a/gate/process/gossip/limits.go
+++ b/gate/process/gossip/limits.go
@@ -49,7 +49,7 @@
 			}
 			limits = append(limits, fleet.UpstreamLimit{
 				Key: l.GetKey(), StartTime: l.GetStartTime(), PerSecond: rate,
-				At: p.lastHeard.Add(-time.Duration(l.GetAgeMs()) * time.Millisecond),
+				At: p.timeOf(time.Duration(l.GetAgeMs()) * time.Millisecond),
 			})
 		}
 	}
--- a/gate/process/gossip/peers.go
+++ b/gate/process/gossip/peers.go
@@ -17,6 +17,10 @@
 	maxLoadAge = time.Second
 	// lostAfter is the time without a heartbeat after which a peer is lost.
 	lostAfter = 2 * time.Second
+	// suspendedAfter is the time without a heartbeat after which a peer may have been
+	// suspended. Ages may be wrong by a shorter time, which is what the limits of upstreams
+	// allow for.
+	suspendedAfter = 500 * time.Millisecond
 	// peerRetention is the time without a heartbeat after which a peer is removed,
 	// unless it is a seed. Until then it counts as a gate that may still send
 	// requests, for the limits that all gates share.
@@ -39,6 +43,20 @@
 	// heartbeat is the last heartbeat, or nil if there was none.
 	heartbeat *wire.Beat
 	lost      bool
+	// silentFrom and silentUntil are the beginning and the end of the last time without a
+	// heartbeat that was longer than suspendedAfter.
+	silentFrom, silentUntil time.Time
+}
+
+// timeOf returns the time to which an age in the last heartbeat refers. The clock of a
+// suspended machine stands still, so what it knows from before may be older than it states
+// by the time without heartbeats.
+func (p *peer) timeOf(age time.Duration) time.Time {
+	at := p.lastHeard.Add(-age)
+	if at.Before(p.silentUntil) {
+		at = at.Add(-p.silentUntil.Sub(p.silentFrom))
+	}
+	return at
 }
 
 // Add adds addresses at which gates may run.
@@ -86,7 +104,11 @@
 	if p.lost {
 		g.DecisionLog.Log("peer_heard", "peer", addr, "instance", b.GetInstance(), "zone", b.GetZone())
 	}
-	p.heartbeat, p.lastHeard, p.lost = b, time.Now(), false
+	now := time.Now()
+	if p.heartbeat != nil && now.Sub(p.lastHeard) > suspendedAfter {
+		p.silentFrom, p.silentUntil = p.lastHeard, now
+	}
+	p.heartbeat, p.lastHeard, p.lost = b, now, false
 	return true
 }
 
@@ -160,7 +182,7 @@
 			continue
 		}
 		for _, group := range p.heartbeat.GetGroups() {
-			idle := age + time.Duration(group.GetIdleMs())*time.Millisecond
+			idle := now.Sub(p.timeOf(time.Duration(group.GetIdleMs()) * time.Millisecond))
 			total, ok := progress[group.GetKey()]
 			if !ok || idle < total.Idle {
 				total.Idle = idle
