--- a/gate/process/fleet/notice.go
+++ b/gate/process/fleet/notice.go
@@ -106,13 +106,6 @@
 	return changed
 }
 
-// NoticeCount returns the number of processes whose notices are kept.
-func (f *Fleet) NoticeCount() int {
-	f.noticeMu.Lock()
-	defer f.noticeMu.Unlock()
-	return len(f.notices)
-}
-
 // restoreNotice applies what the process of a new upstream has said before.
 func (f *Fleet) restoreNotice(u *Upstream) {
 	f.noticeMu.Lock()
