--- a/gate/request/relay/answer.go
+++ b/gate/request/relay/answer.go
@@ -61,13 +61,13 @@
 		res.responding = time.Since(start)
 		return res
 	}
-	w.recordResponse(false)
+	w.recordHeader()
 	data, more, err := readBody(body)
 	if err != nil {
 		return attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err}
 	}
-	// Another attempt goes on if this one says nothing of the request.
-	if t.endsRequest(h, info) && !w.recordResponse(true) {
+	// A response that is not forwarded leaves the standby as it is.
+	if t.endsRequest(h, info) && !w.claim() {
 		return attemptResult{status: attemptLost, outcome: fleet.Inconclusive, err: errReplaced}
 	}
 	if more {
--- a/gate/request/relay/watchdog.go
+++ b/gate/request/relay/watchdog.go
@@ -91,25 +91,22 @@
 	return true
 }
 
-// recordResponse records a response that is no stream, and whether it has arrived as a
-// whole. It returns false if another attempt has taken the place of this one.
-func (w *watchdog) recordResponse(whole bool) bool {
+// recordHeader records the header of a response that is no stream.
+func (w *watchdog) recordHeader() {
 	now := time.Now()
 	w.mu.Lock()
 	wait := now.Sub(w.lastEvent)
-	replaced := w.replaced
-	if whole {
-		replaced = w.cancelStandby()
-	}
 	w.mu.Unlock()
-	if replaced {
-		return false
-	}
-	if !whole {
-		w.transaction.poolState.silence.ObserveEvent(now, wait, true)
-		w.transaction.relay.Picker.Fleet.Hear(now, w.upstream)
-	}
-	return true
+	w.transaction.poolState.silence.ObserveEvent(now, wait, true)
+	w.transaction.relay.Picker.Fleet.Hear(now, w.upstream)
+}
+
+// claim gives up the standby, since the response of this attempt is forwarded. It returns
+// false if the standby has taken the place of this attempt.
+func (w *watchdog) claim() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.cancelStandby()
 }
 
 // cancelStandby gives up the standby, unless it has taken the place of the attempt, which it
