Play departures, pauses and Retry-After of workers in the soak

The stand-ins of the soak now also say that they leave and are replaced by a later process with the same id, refuse requests with Retry-After, sound and odd, and pause streams.

--- a/fakes/soak/checks_test.go
+++ b/fakes/soak/checks_test.go
@@ -110,9 +110,12 @@
 	}
 }
 
+// preemption is the time for which a worker pauses a stream.
+const preemption = 1300 * time.Millisecond
+
 // writeStream writes the events after the last one that the request names. If
 // faulty is set, it resets the connection before the end of the stream, in the
-// middle of an event if faultKind is less than 6.
+// middle of an event if faultKind is less than 6, or pauses there if it is 8.
 func writeStream(conn *worker.Conn, req *worker.ReceivedRequest, faulty bool, faultKind int, randomInt func(int) int) {
 	first := 1
 	if last := req.Header.Get(worker.HeaderLastEventID); last != "" {
@@ -126,7 +129,9 @@
 		stop = first + randomInt(eventsPerStream)
 	}
 	for i := first; i <= eventsPerStream; i++ {
-		if i == stop {
+		if i == stop && faultKind == 8 {
+			time.Sleep(preemption)
+		} else if i == stop {
 			if faultKind < 6 {
 				conn.WriteChunk(fmt.Sprintf("id: %d\nda", i))
 			}
--- a/fakes/soak/soak_test.go
+++ b/fakes/soak/soak_test.go
@@ -127,7 +127,7 @@
 func (s *system) injectFault(rng *rand.Rand) {
 	g := s.gates[rng.IntN(len(s.gates))]
 	w := s.workers[rng.IntN(len(s.workers))]
-	switch rng.IntN(13) {
+	switch rng.IntN(15) {
 	case 0:
 		s.restartGate(g, syscall.SIGTERM, rng.IntN(3) == 0)
 	case 1:
@@ -156,9 +156,20 @@
 		s.configure("/a/", fmt.Sprintf("/x%d/", rng.IntN(3)))
 	case 12:
 		w.SetLimit([]string{"", "2", "20", "1e999", "-1", "x"}[rng.IntN(6)])
+	case 13:
+		w.SetRetryAfter([]string{"", "0.4", "2", "0", "-3", "x"}[rng.IntN(6)])
+	case 14:
+		s.replaceLeaving(w, time.Duration(rng.IntN(2000))*time.Millisecond)
 	}
 }
 
+// replaceLeaving makes a worker say that it leaves, while its entry says that it is ready,
+// and puts a later process with the same id and address in its place after d.
+func (s *system) replaceLeaving(w *proxiedWorker, d time.Duration) {
+	w.SetLeaving(true)
+	time.AfterFunc(d, func() { w.startAgain() })
+}
+
 func (s *system) setLink(w *proxiedWorker, f proxy.Fault) {
 	if err := s.proxy.SetFault(w.link, func(p *proxy.Fault) error { *p = f; return nil }); err != nil {
 		s.t.Error(err)
@@ -188,6 +199,8 @@
 	s.faults.level.Store(0)
 	for _, w := range s.workers {
 		w.SetLimit("")
+		w.SetRetryAfter("")
+		w.startAgain()
 		s.setLink(w, proxy.Fault{})
 	}
 	s.store.SetFaults(meta.Faults{})
--- a/fakes/soak/system_test.go
+++ b/fakes/soak/system_test.go
@@ -64,6 +64,16 @@
 	mu       sync.Mutex
 	sequence int
 	draining time.Time
+	// restarts counts the processes that have taken the worker's place.
+	restarts int
+}
+
+// startAgain makes the worker a later process that stays.
+func (w *proxiedWorker) startAgain() {
+	w.SetLeaving(false)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.restarts++
 }
 
 // ports allocates loopback ports below the ephemeral range, so that neither
@@ -171,6 +181,7 @@
 			state = "draining"
 		}
 		entry := site.WorkerEntry(w.pool, w.addr, state, 8, w.sequence)
+		entry["born"] = 1 + w.restarts
 		w.mu.Unlock()
 		s.store.Put("servers", w.ID, entry)
 	}
