Start the programs of the specs in process groups of their own

Cause: when a shell ends, its process group is orphaned, and the kernel sends SIGHUP to an orphaned group that has a stopped process. Entries do not handle it.

--- a/fakes/soak/system_test.go
+++ b/fakes/soak/system_test.go
@@ -200,6 +200,8 @@
 	}
 	g.cmd = exec.Command(bin, "--settings", g.settings)
 	g.cmd.Stdout, g.cmd.Stderr = log, log
+	// As in fakes/system: a suspended process must not get SIGHUP when a shell ends.
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := g.cmd.Start(); err != nil {
 		t.Fatalf("run scripts/build.sh first: %v", err)
 	}
--- a/fakes/system/harness_test.go
+++ b/fakes/system/harness_test.go
@@ -83,6 +83,9 @@
 	Expect(err).NotTo(HaveOccurred())
 	p.cmd = exec.Command(bin, p.args[1:]...)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	// The kernel sends SIGHUP to a process group with a stopped process when the shell ends
+	// that has started it. A group of its own keeps suspended processes from that.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	Expect(p.cmd.Start()).To(Succeed(), "run scripts/build.sh first")
 	p.done = make(chan struct{})
 	go func(cmd *exec.Cmd, done chan struct{}) { _ = cmd.Wait(); close(done) }(p.cmd, p.done)
