Forward an upstream's error response when a shutdown prevents a retry

Seen by reading: since a gate that shuts down decides before each send, a safe request whose upstream had failed got the gate's 502 in place of the upstream's own response, instead of a retry.

Cause: refuseDraining did not look at the error response that is kept for the case that no retry succeeds.

Evidence: TestShutdownForwardsErrorResponse, new, got 502 before and 500 now.

Why it works: the kept response is forwarded first, as when retries are used up.

--- a/gate/request/relay/drain.go
+++ b/gate/request/relay/drain.go
@@ -52,6 +52,8 @@
 	expected, known := t.poolState.durations.Expected(now)
 	t.log("drain_refused", "left", until.Sub(now), "needed", t.deadline.Sub(now), "expected", expected, "known", known, "last_event", t.stream.lastID)
 	switch {
+	case t.errorResponse != nil && !t.inbound.HeaderWritten():
+		t.forwardResponse(t.errorResponse)
 	case t.inbound.HeaderWritten(), t.mayHaveRun:
 		// A caller that resumes the stream has all its time left for another gate.
 		t.fail(ctx, core.ReasonDraining, "the gate shuts down before the request would have to end")
--- a/gate/request/relay/drain_test.go
+++ b/gate/request/relay/drain_test.go
@@ -120,3 +120,18 @@
 	g.Expect(time.Since(start)).To(BeNumerically("<", time.Second))
 	g.Expect(s.received()).To(Equal(1))
 }
+
+// Guards against an upstream's error response that the gate replaces by its own because it
+// has begun to shut down and does not retry.
+func TestShutdownForwardsErrorResponse(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := startCrashSystem(t, 2)
+	s.setScript(func(c *worker.Conn, req *worker.ReceivedRequest) {
+		time.Sleep(100 * time.Millisecond)
+		c.WriteResponse(req, http.StatusInternalServerError, "failed")
+	})
+	time.AfterFunc(50*time.Millisecond, func() { s.relay.Drain(time.Now().Add(200 * time.Millisecond)) })
+	g.Expect(s.sendTo("/safe/", "f:40,1:500")).To(Equal(http.StatusInternalServerError))
+	g.Expect(s.received()).To(Equal(1))
+}
