Tell other gates at once only of crashes that have a probable cause

TestCrashesWorthTelling is new with the mechanism.

Why it works: several requests at one upstream with the same parts count once, a crash without a probable cause is told for one second, and only one with a cause is announced. TestTrialsOfClearedParts had failed since, which was not seen as the whole package was not run: its 200 parts crash one upstream each, which now shows another cause. It lets each crash two and expects the same.

--- a/gate/process/crash/crash.go
+++ b/gate/process/crash/crash.go
@@ -13,12 +13,13 @@
 // parts, at most as many as given.
 func Report(c *policy.Containment, now time.Time, maxCrashes, maxSuccesses int) ([]*wire.UpstreamCrash, []*wire.PartSuccess) {
 	var crashes []*wire.UpstreamCrash
-	known := c.Crashes(now)
-	for _, k := range known[max(0, len(known)-maxCrashes):] {
+	known := c.News(now)
+	known = known[max(0, len(known)-maxCrashes):]
+	for _, k := range known {
 		crashes = append(crashes, &wire.UpstreamCrash{Id: k.ID, Upstream: k.Upstream, Parts: k.Parts, AgeMs: ageMS(now, k.At)})
 	}
 	var successes []*wire.PartSuccess
-	for part, at := range c.Successes() {
+	for part, at := range c.Successes(known) {
 		if len(successes) == maxSuccesses {
 			break
 		}
--- a/gate/process/gossip/crashes.go
+++ b/gate/process/gossip/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"parsleyroute.example/core/wire"
@@ -36,7 +37,7 @@
 	for _, k := range learned {
 		g.DecisionLog.Log("crash_learned", "crash", k.ID, "from", b.GetInstance(), "crash_age", now.Sub(k.At), "parts", len(k.Parts))
 	}
-	if len(learned) > 0 {
+	if slices.ContainsFunc(learned, g.Containment.HasCause) {
 		// This gate's successes of the parts may clear them.
 		g.Announce()
 	}
--- a/gate/process/policy/containment.go
+++ b/gate/process/policy/containment.go
@@ -36,6 +36,9 @@
 	maxSuccesses  = 1 << 15
 	maxLosses     = 256
 	maxEnded      = 64
+	// newsTime is how long a crash without a probable cause is told to other gates. Each
+	// of them gets a heartbeat in that time.
+	newsTime = time.Second
 	// confirmTime is how long after a loss a restart of the upstream shows that it has
 	// crashed. A process that starts again is listed within that time.
 	confirmTime = 5 * time.Second
@@ -194,7 +197,11 @@
 }
 
 func (c *Containment) observe(crash Crash) bool {
-	if len(crash.Parts) == 0 || slices.ContainsFunc(c.crashes, func(k Crash) bool { return k.ID == crash.ID }) {
+	// Several requests at one upstream with the same parts say no more than one of them.
+	isKnown := func(k Crash) bool {
+		return k.ID == crash.ID || k.Upstream == crash.Upstream && slices.Equal(k.Parts, crash.Parts)
+	}
+	if len(crash.Parts) == 0 || slices.ContainsFunc(c.crashes, isKnown) {
 		return false
 	}
 	c.recordEnd(crash)
@@ -268,12 +275,28 @@
 	return slices.Clone(c.crashes)
 }
 
-// Successes returns the times of the last success of the parts of the known crashes.
-func (c *Containment) Successes() map[uint64]time.Time {
+// News returns the crashes that other gates should be told of: those with a probable cause,
+// and others while they are new. Most crashes say nothing of any part, and each would be in
+// all heartbeats until an upstream responds to its parts.
+func (c *Containment) News(now time.Time) []Crash {
+	return slices.DeleteFunc(c.Crashes(now), func(k Crash) bool {
+		return now.Sub(k.At) > newsTime && !c.HasCause(k)
+	})
+}
+
+// HasCause reports whether a crash has a probable cause, so that requests are contained.
+func (c *Containment) HasCause(crash Crash) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.suspects(crash).parts) > 0
+}
+
+// Successes returns the times of the last success of the parts of the given crashes.
+func (c *Containment) Successes(crashes []Crash) map[uint64]time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	successes := map[uint64]time.Time{}
-	for _, crash := range c.crashes {
+	for _, crash := range crashes {
 		for _, p := range crash.Parts {
 			if at := c.lastSuccess(p); !at.IsZero() {
 				successes[p] = at
--- a/gate/process/policy/crashes_test.go
+++ b/gate/process/policy/crashes_test.go
@@ -189,3 +189,23 @@
 		}
 	})
 }
+
+// Guards against heartbeats that carry each crash of an outage to all gates until an upstream
+// responds again, although it says nothing of any part, and against reports of the same
+// parts by each request.
+func TestCrashesWorthTelling(t *testing.T) {
+	g := NewWithT(t)
+	var c policy.Containment
+	now := time.Now()
+	c.Success(now, popular)
+	c.Success(now, rare)
+	now = now.Add(time.Second)
+	for i := range uint64(20) {
+		c.Observe(policy.Crash{ID: 10 + i, Upstream: 1, Parts: []uint64{popular}, At: now})
+	}
+	c.Observe(policy.Crash{ID: 2, Upstream: 2, Parts: []uint64{rare}, At: now})
+	c.Observe(policy.Crash{ID: 3, Upstream: 3, Parts: []uint64{popular, crashing}, At: now})
+	g.Expect(c.News(now)).To(HaveLen(3), "new crashes add to the evidence of other gates")
+	g.Expect(c.News(now.Add(3 * time.Second))).To(HaveLen(1))
+	g.Expect(c.News(now.Add(3 * time.Second))[0].ID).To(BeEquivalentTo(3))
+}
--- a/gate/process/policy/trials_test.go
+++ b/gate/process/policy/trials_test.go
@@ -17,7 +17,10 @@
 	for i := range uint64(200) {
 		part := 10 + i
 		now = now.Add(time.Second)
+		// So many outages show that upstreams crash for other reasons too, so that a part is
+		// contained after its second crash.
 		c.Observe(Crash{ID: part, Upstream: part, Parts: []uint64{part}, At: now})
+		c.Observe(Crash{ID: 1000 + part, Upstream: 1000 + part, Parts: []uint64{part}, At: now})
 		g.Expect(c.Check(now, Request{Parts: []uint64{part}}, Position{Gates: 1}).Contained).To(BeTrue())
 		c.Success(now.Add(time.Millisecond), part)
 		c.Crashes(now)
--- a/gate/request/relay/contain.go
+++ b/gate/request/relay/contain.go
@@ -120,7 +120,7 @@
 	}
 	if r.Containment.Observe(loss) {
 		r.logCrash(u, "lost", loss, fields...)
-		r.notifyContainment()
+		r.announceCrash(loss)
 	}
 	return true
 }
@@ -137,8 +137,14 @@
 	crashes := r.Containment.ConfirmCrash(time.Now(), crashKey(u))
 	for _, k := range crashes {
 		r.logCrash(u, "restarted", k, "loss_age", time.Since(k.At))
+		r.announceCrash(k)
 	}
-	if len(crashes) > 0 {
+}
+
+// announceCrash tells the other gates of a crash at once, if it has a probable cause. Others
+// are in the next heartbeats.
+func (r *Relay) announceCrash(k policy.Crash) {
+	if r.Containment.HasCause(k) {
 		r.notifyContainment()
 	}
 }
