End a suspected outage of the store when a gate stops to watch

Cause: a gate that stopped to watch right after a failed call made no call that could end the outage. It took the store to be away from then on, and told the peers that pulled from it to keep removed upstreams for 2.5 s.

Evidence: the spec "does not take the store to be away when it makes no calls" fails without the change.

Why it works: a gate without calls suspects nothing. What a peer states is passed on to those that pull next, so that an outage that only the watching gates have seen still holds entries.

--- a/gate/process/policy/outage.go
+++ b/gate/process/policy/outage.go
@@ -59,6 +59,26 @@
 	}
 }
 
+// Stop records that this gate makes no more calls for now, so that nothing will show the end
+// of an outage. It may be called often.
+func (o *StoreOutage) Stop(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.awaySince.IsZero() && now.Sub(o.awaySince) >= o.minAway() {
+		o.end = now
+	}
+	o.awaySince = time.Time{}
+}
+
+// Learn records for how long entries may come back by what a peer states.
+func (o *StoreOutage) Learn(now time.Time, lapse time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if end := now.Add(lapse - returnTime); lapse > 0 && end.After(o.end) {
+		o.end = end
+	}
+}
+
 // LapseTime returns for how long an entry that is removed now may still come back, because it
 // may have lapsed in an outage, and zero if it has not.
 func (o *StoreOutage) LapseTime(now time.Time) time.Duration {
--- a/gate/process/policy/outage_test.go
+++ b/gate/process/policy/outage_test.go
@@ -45,6 +45,22 @@
 		o.Failure(at(time.Minute))
 		g.Expect(o.LapseTime(at(time.Minute + 100*ms))).To(BeZero())
 	})
+	t.Run("the gate makes no more calls after a failed one", func(t *testing.T) {
+		g := NewWithT(t)
+		o := policy.StoreOutage{Heartbeat: heartbeat}
+		o.Success(at(0))
+		o.Failure(at(time.Second))
+		o.Stop(at(1100 * ms))
+		g.Expect(o.LapseTime(at(time.Minute))).To(BeZero())
+	})
+	t.Run("an outage that a peer has seen", func(t *testing.T) {
+		g := NewWithT(t)
+		o := policy.StoreOutage{Heartbeat: heartbeat}
+		o.Learn(at(0), 2*time.Second)
+		g.Expect(o.LapseTime(at(500 * ms))).To(Equal(1500 * ms))
+		o.Learn(at(500*ms), 0)
+		g.Expect(o.LapseTime(at(2 * time.Second))).To(BeZero())
+	})
 	t.Run("an outage", func(t *testing.T) {
 		g := NewWithT(t)
 		o := policy.StoreOutage{Heartbeat: heartbeat}
--- a/gate/process/view/follow.go
+++ b/gate/process/view/follow.go
@@ -53,6 +53,7 @@
 	for ctx.Err() == nil {
 		if listed && v.ShouldWatch != nil && !v.ShouldWatch() {
 			watching.Store(false)
+			v.outage.Stop(time.Now())
 			resuming = true
 			_ = clock.Real{}.Sleep(ctx, watchCheckInterval)
 			continue
--- a/gate/process/view/pull.go
+++ b/gate/process/view/pull.go
@@ -104,6 +104,7 @@
 		revision := s.GetRevision()
 		// The peer knows whether the store was away when it learned of a removal.
 		lapse := min(time.Duration(r.GetLapseMs())*time.Millisecond, maxLapse)
+		v.outage.Learn(time.Now(), lapse)
 		v.apply(k.kind, objectsFromWire(s), revision, s.GetComplete(), addr.String(), lapse)
 		k.revision = max(k.revision, revision)
 		v.publishRevisions()
--- a/gate/process/view/view_test.go
+++ b/gate/process/view/view_test.go
@@ -210,6 +210,22 @@
 		Eventually(w.has("a"), "1s").Should(BeFalse())
 	})
 
+	// Guards against a gate that stops to watch after a failed call, takes the store to be away
+	// from then on, and tells peers to keep upstreams that have left (seen in review/4).
+	It("does not take the store to be away when it makes no calls", func() {
+		srv := newStore()
+		var shouldWatch atomic.Bool
+		shouldWatch.Store(true)
+		w := openViewWith(srv, shouldWatch.Load)
+		Eventually(w.Watching, "2s").Should(BeTrue())
+		srv.SetFaults(meta.Faults{Status: 503})
+		Eventually(w.Watching, "3s").Should(BeFalse())
+		shouldWatch.Store(false)
+		srv.SetFaults(meta.Faults{})
+		time.Sleep(lapsingOutage)
+		Expect(w.outage.LapseTime(time.Now())).To(BeZero())
+	})
+
 	// Guards against a gate that follows a peer and drops the upstreams whose entries have
 	// lapsed in an outage of the store, and against one whose own calls fail and which keeps
 	// an upstream that has left.
