--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -19,6 +19,7 @@
 
 var cases = map[string]func(*record, bool) (int, error){
 	"6": maps,
+	"7": prompts,
 }
 
 func main() {
