--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*record, bool) (int, error){
 	"6": maps,
 	"7": prompts,
+	"8": streamEnd,
 }
 
 func main() {
