--- a/review/stand-2/case6.go
+++ b/review/stand-2/case6.go
@@ -2,12 +2,15 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -24,6 +27,8 @@
 	freezeMin   = 300 * time.Millisecond
 	freezeMax   = 600 * time.Millisecond
 	freezeEvery = 4 * time.Second
+	// afterMixed is how long the test goes on after the first pass with different maps.
+	afterMixed = 5 * time.Second
 )
 
 // maps shows a pass that begins while two ranks have different maps, after the machine of
@@ -94,9 +99,13 @@
 	for end := time.Now().Add(mapDay); time.Now().Before(end) && g.mixedPasses() == 0; {
 		time.Sleep(50 * time.Millisecond)
 	}
+	if g.mixedPasses() > 0 {
+		// The record shows whether the maps become the same again.
+		time.Sleep(afterMixed)
+	}
 	close(stop)
 	wg.Wait()
-	r.summary("%d passes, %d of them with different maps", g.step, g.mixedPasses())
+	r.summary("%d passes, %d of them with different maps, the last one: %s", g.step, g.mixedPasses(), g.lastMixed())
 	if g.mixedPasses() > 0 {
 		return broken, nil
 	}
@@ -184,7 +193,9 @@
 
 // startSidecars starts the program rank beside each rank of the group.
 func startSidecars(dir string, g *group) (sidecars []*exec.Cmd, port int, err error) {
-	port = 7355
+	if port, err = freeSidecarPort(g); err != nil {
+		return nil, 0, err
+	}
 	for _, k := range g.ranks {
 		ip, _, _ := strings.Cut(k.addr, ":")
 		path := filepath.Join(dir, "side-"+k.id+".toml")
@@ -200,3 +211,25 @@
 	}
 	return sidecars, port, nil
 }
+
+// freeSidecarPort returns a port that is free at the addresses of all ranks.
+func freeSidecarPort(g *group) (int, error) {
+	const tries = 50
+	for range tries {
+		_, port, _ := net.SplitHostPort(freeAddr())
+		free := true
+		for _, k := range g.ranks {
+			ip, _, _ := strings.Cut(k.addr, ":")
+			ln, err := net.Listen("tcp", net.JoinHostPort(ip, port))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = ln.Close()
+		}
+		if free {
+			return strconv.Atoi(port)
+		}
+	}
+	return 0, errors.New("no port is free at all ranks")
+}
--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -42,7 +42,11 @@
 }
 
 func readAnswer(c net.Conn, method string) answer {
-	r, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	return readAnswerFrom(bufio.NewReader(c), method)
+}
+
+func readAnswerFrom(br *bufio.Reader, method string) answer {
+	r, err := http.ReadResponse(br, &http.Request{Method: method})
 	if err != nil {
 		return answer{err: err}
 	}
@@ -51,3 +55,29 @@
 	_ = r.Body.Close()
 	return answer{status: r.StatusCode, signed: r.Header.Get(headerSigned), body: b.String(), err: err}
 }
+
+// keptConn is a connection that a client uses for several requests.
+type keptConn struct {
+	c  net.Conn
+	br *bufio.Reader
+}
+
+func keepConn(addr string) (*keptConn, error) {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &keptConn{c: c, br: bufio.NewReader(c)}, nil
+}
+
+// ask sends a request and reads the answer.
+func (k *keptConn) ask(path, id string, deadline time.Duration) answer {
+	_ = k.c.SetDeadline(time.Now().Add(deadline))
+	const body = "a brass plate"
+	_, err := fmt.Fprintf(k.c, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		path, host, headerAttempt, id, headerDeadline, deadline.Milliseconds(), len(body), body)
+	if err != nil {
+		return answer{err: err}
+	}
+	return readAnswerFrom(k.br, "POST")
+}
--- a/review/stand-2/gate.go
+++ b/review/stand-2/gate.go
@@ -182,6 +182,17 @@
 	_ = g.cmd.Process.Signal(s)
 }
 
+// terminate stops the process as the platform does: with SIGTERM, and with SIGKILL after
+// the grace time.
+func (g *gate) terminate() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
+	process := g.cmd.Process
+	_ = process.Signal(syscall.SIGTERM)
+	time.AfterFunc(grace, func() { _ = process.Kill() })
+}
+
 func (g *gate) peakMB() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/review/stand-2/group.go
+++ b/review/stand-2/group.go
@@ -180,6 +180,16 @@
 	return len(g.mixed)
 }
 
+// lastMixed describes the last pass that began with different maps.
+func (g *group) lastMixed() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.mixed) == 0 {
+		return "none"
+	}
+	return g.mixed[len(g.mixed)-1]
+}
+
 // ServeHTTP implements http.Handler.
 func (k *rank) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if expect := r.Header.Get(headerExpect); expect != "" && expect != k.id {
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -21,6 +21,7 @@
 	"6": maps,
 	"7": prompts,
 	"8": streamEnd,
+	"9": shutdown,
 }
 
 func main() {
--- a/review/stand-2/worker_process.go
+++ b/review/stand-2/worker_process.go
@@ -46,6 +46,11 @@
 // streamEvents writes the events after the one that the request names. Each event is
 // written at once, as a whole.
 func streamEvents(w *worker, c net.Conn, r *request, unframed bool, gap time.Duration) bool {
+	return writeEvents(w, c, r, unframed, gap, eventCount)
+}
+
+// writeEvents is streamEvents for a stream of the given number of events.
+func writeEvents(w *worker, c net.Conn, r *request, unframed bool, gap time.Duration, count int) bool {
 	first := 1
 	_, _ = fmt.Sscanf(r.Header.Get("Last-Event-Id"), "%d", &first)
 	if r.Header.Get("Last-Event-Id") != "" {
@@ -57,9 +62,9 @@
 	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\nContent-Type: text/event-stream\r\n%s\r\n\r\n",
 		headerAttempt, r.id, headerSigned, w.id, r.id, framing)
-	for id := first; id <= eventCount; id++ {
+	for id := first; id <= count; id++ {
 		time.Sleep(gap)
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %d\n\n", id, id, eventCount)
+		event := fmt.Sprintf("id: %d\ndata: piece %d of %d\n\n", id, id, count)
 		if !unframed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
