--- a/review/stand-2/case6.go
+++ b/review/stand-2/case6.go
@@ -54,7 +54,7 @@
 		return couldNot, err
 	}
 	s.putConfig([]any{draftRoute()}, []any{map[string]any{
-		"name": "lettering-model", "health_path": "/healthz", "max_connections": 408,
+		"name": "models", "health_path": "/healthz", "max_connections": 408,
 		"engine": map[string]any{
 			"slots": 12, "kv_capacity": 280000, "link_mbps": 180000, "stride": 4, "step_ms": 4.55, "per_seq_ms": 0.905,
 			"sets": setCount, "experts": expertCount, "placements": placeCount, "spare": spareCount, "expert_mb": 2200, "expert_share": 0.85, "form_ms": 600,
@@ -62,7 +62,7 @@
 	}})
 	for _, k := range g.ranks {
 		s.store.put("servers", k.id, map[string]any{
-			"backend": "lettering-model", "address": k.addr, "zone": "zone-a", "version": "v1", "slots": 12, "state": "ready",
+			"backend": "models", "address": k.addr, "zone": "zone-a", "version": "v1", "slots": 12, "state": "ready",
 			"cold_remaining_ms": 0, "sequence": 1, "born": k.born, "size": rankCount,
 			"group": map[string]any{"name": "g", "epoch": 1, "rank": k.number, "state": "open"},
 		})
--- a/review/stand-2/case7.go
+++ b/review/stand-2/case7.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// promptRate is the number of requests per second at each gate. The sheet's traffic in
-	// dakar-yoff, which has one gate, is 20.1 a second.
+	// promptRate is the number of requests per second at each gate. The sheet has 20.1 a second
+	// in its zone with one gate.
 	promptRate = 8
 	// promptTime is how long a client takes to send a body, at 67 Mbit/s.
 	promptTime = 500 * time.Millisecond
@@ -45,9 +45,9 @@
 		if err != nil {
 			return couldNot, err
 		}
-		s.putWorker(id, "lettering-model", w.addr(), 12, 1)
+		s.putWorker(id, "models", w.addr(), 12, 1)
 	}
-	s.putConfig([]any{draftRoute()}, []any{map[string]any{"name": "lettering-model", "health_path": "/healthz", "max_connections": 408}})
+	s.putConfig([]any{draftRoute()}, []any{map[string]any{"name": "models", "health_path": "/healthz", "max_connections": 408}})
 	ends := make([]atomic.Int64, 2)
 	for i := range ends {
 		g := s.addGate(fmt.Sprintf("edge-%d", i+1))
--- a/review/stand-2/case8.go
+++ b/review/stand-2/case8.go
@@ -57,7 +57,7 @@
 			return err
 		}
 		workers = append(workers, w)
-		s.putWorker(id, "lettering-model", addr, 12, 1)
+		s.putWorker(id, "models", addr, 12, 1)
 		r.printf("%s: worker %s started at %s", name, id, addr)
 		return nil
 	}
@@ -66,7 +66,7 @@
 			return 0, err
 		}
 	}
-	s.putConfig([]any{draftRoute()}, []any{map[string]any{"name": "lettering-model", "health_path": "/healthz", "max_connections": 408}})
+	s.putConfig([]any{draftRoute()}, []any{map[string]any{"name": "models", "health_path": "/healthz", "max_connections": 408}})
 	g := s.addGate("edge-1")
 	if err := s.start(); err != nil {
 		return 0, err
--- a/review/stand-2/case9.go
+++ b/review/stand-2/case9.go
@@ -48,9 +48,9 @@
 		if err != nil {
 			return couldNot, err
 		}
-		s.putWorker(id, "lettering-model", w.addr(), 12, 1)
+		s.putWorker(id, "models", w.addr(), 12, 1)
 	}
-	s.putConfig([]any{draftRoute()}, []any{map[string]any{"name": "lettering-model", "health_path": "/healthz", "max_connections": 408}})
+	s.putConfig([]any{draftRoute()}, []any{map[string]any{"name": "models", "health_path": "/healthz", "max_connections": 408}})
 	g := s.addGate("edge-1")
 	if err := s.start(); err != nil {
 		return couldNot, err
--- a/review/stand-2/config.go
+++ b/review/stand-2/config.go
@@ -93,6 +93,6 @@
 func draftRoute() map[string]any {
 	return map[string]any{
 		"name": "plaque-draft", "hostname": host, "path_prefix": "/draft/", "type": "streaming", "timeout_ms": 8000, "slo_ms": 500,
-		"priority": 1, "backend": "lettering-model", "max_attempts": 2, "stream_resume": true, "gap_aim_ms": 120,
+		"priority": 1, "backend": "models", "max_attempts": 2, "stream_resume": true, "gap_aim_ms": 120,
 	}
 }
--- a/review/stand-2/gate.go
+++ b/review/stand-2/gate.go
@@ -54,7 +54,7 @@
 }
 
 // writeSettings writes the settings file as deploy/gate.toml renders it on one of the
-// machines of ndiaye-signes.
+// machines of the small sites.
 func (g *gate) writeSettings() (string, error) {
 	seeds := make([]string, len(g.seeds))
 	for i, s := range g.seeds {
