--- a/review/stand-2/case7.go
+++ b/review/stand-2/case7.go
@@ -40,7 +40,7 @@
 		id := fmt.Sprintf("i-model-%d", i)
 		w, err := startWorker(id, 12, func(w *worker, c net.Conn, q *request) bool {
 			r.printf("worker %s runs %s, body %d bytes", w.id, q.id, len(q.body))
-			return streamEvents(w, c, q, false, promptGap)
+			return writeEvents(w, c, q, promptGap, eventCount)
 		})
 		if err != nil {
 			return couldNot, err
--- a/review/stand-2/case8.go
+++ b/review/stand-2/case8.go
@@ -2,113 +2,131 @@
 
 import (
 	"fmt"
-	"os/exec"
+	"net"
 	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	streamWorkers = 6
-	streamCalls   = 24
-	// crashAfter is the time from the first request to the crash of one worker, in the
-	// middle of the streams.
-	crashAfter = 800 * time.Millisecond
-	// crashTime is how long the worker is down.
-	crashTime = 4500 * time.Millisecond
-	heartbeat = 1200 * time.Millisecond
+	// shortEvents and longEvents are the lengths of streams, with shutdownGap between two
+	// events, which is within the sheet's 120 ms.
+	shortEvents  = 24
+	longEvents   = 45
+	shutdownGap  = 100 * time.Millisecond
+	shortStreams = 40
+	// grace is the time from SIGTERM to SIGKILL. A request that is sent later than
+	// lateAfter after SIGTERM has no excuse in the rule.
+	grace     = 8 * time.Second
+	lateAfter = 3 * time.Second
 )
 
-// streamEnd shows streams that end as complete before their last piece, after the process
-// of their worker has crashed. It first runs the same with workers that send chunks.
-func streamEnd(r *record, trouble bool) (int, error) {
-	chunked, err := crashStreams(r, "chunks", false, trouble)
-	if err != nil {
-		return couldNot, err
-	}
-	unframed, err := crashStreams(r, "unframed", true, trouble)
-	if err != nil {
-		return couldNot, err
-	}
-	if chunked+unframed > 0 {
-		return broken, nil
-	}
-	return held, nil
-}
+// lateSends are the times after SIGTERM at which clients send requests on connections that
+// they have kept.
+var lateSends = []time.Duration{3050 * time.Millisecond, 3100 * time.Millisecond, 3150 * time.Millisecond}
 
-// crashStreams runs streams, crashes one of the workers and returns the number of streams
-// that ended as complete before their last piece.
-func crashStreams(r *record, name string, unframed, trouble bool) (int, error) {
+// shutdown shows requests that a gate reads and passes on more than 3 s after its SIGTERM
+// and whose connection ends without a complete answer.
+func shutdown(r *record, trouble bool) (int, error) {
 	s, err := newSite()
 	if err != nil {
-		return 0, err
+		return couldNot, err
 	}
 	defer s.stop()
-	var workers []*exec.Cmd
-	defer func() {
-		for _, w := range workers {
-			_ = w.Process.Kill()
-			_ = awaitChild(w)
-		}
-	}()
-	startOne := func(id string) error {
-		w, addr, err := startWorkerProcess(r, workerSettings{ID: id, Unframed: unframed})
+	for i := range 3 {
+		id := fmt.Sprintf("i-model-%d", i)
+		w, err := startWorker(id, 12, func(w *worker, c net.Conn, q *request) bool {
+			n := shortEvents
+			if strings.HasSuffix(q.URL.Path, "/long") {
+				n = longEvents
+			}
+			r.printf("worker %s runs %s, %d events", w.id, q.id, n)
+			whole := writeEvents(w, c, q, shutdownGap, n)
+			r.printf("worker %s ends %s, whole: %t", w.id, q.id, whole)
+			return whole
+		})
 		if err != nil {
-			return err
-		}
-		workers = append(workers, w)
-		s.putWorker(id, "models", addr, 12, 1)
-		r.printf("%s: worker %s started at %s", name, id, addr)
-		return nil
-	}
-	for i := range streamWorkers {
-		if err := startOne(fmt.Sprintf("i-%s-%d", name, i)); err != nil {
-			return 0, err
+			return couldNot, err
 		}
+		s.putWorker(id, "models", w.addr(), 12, 1)
 	}
 	s.putConfig([]any{draftRoute()}, []any{map[string]any{"name": "models", "health_path": "/healthz", "max_connections": 408}})
 	g := s.addGate("edge-1")
 	if err := s.start(); err != nil {
-		return 0, err
+		return couldNot, err
+	}
+	if err := sendShortStreams(r, g); err != nil {
+		return couldNot, err
+	}
+	// Each of these clients has had an answer on its connection and keeps it.
+	kept := make([]*keptConn, len(lateSends))
+	for i := range kept {
+		if kept[i], err = keepConn(g.callers); err != nil {
+			return couldNot, err
+		}
+		if a := kept[i].ask("/draft/short", newAttempt(), 8*time.Second); a.err != nil || a.status != 200 {
+			return couldNot, fmt.Errorf("a first request got status %d, error %w", a.status, a.err)
+		}
+	}
+	start := time.Now()
+	if trouble {
+		g.terminate()
+		r.printf("SIGTERM")
 	}
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	counts := map[string]int{}
-	for i := range streamCalls {
+	for i, at := range lateSends {
 		wg.Go(func() {
-			// Callers come one after the other, so that their streams are not in step.
-			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+			time.Sleep(time.Until(start.Add(at)))
 			id := newAttempt()
-			r.printf("%s: client sends %s", name, id)
-			a := ask(g.callers, "POST", "/draft/plate", id, 8*time.Second, "a brass plate")
+			r.printf("client sends %s, %.3f s after the start", id, time.Since(start).Seconds())
+			a := kept[i].ask("/draft/long", id, 8*time.Second)
 			pieces := strings.Count(a.body, "data: ")
 			verdict := "complete"
 			switch {
-			case a.err != nil || a.status != 200:
-				verdict = "failed"
-			case pieces < eventCount || !strings.HasSuffix(a.body, fmt.Sprintf("piece %d of %d\n\n", eventCount, eventCount)):
-				verdict = "cut, but ends as complete"
+			case a.err != nil && a.status == 0:
+				verdict = "not read, or closed without an answer"
+			case a.status == 503:
+				verdict = "refused"
+			case a.err != nil || a.status != 200 || pieces < longEvents:
+				verdict = "passed on, and cut"
 			}
-			r.printf("%s: client of %s has status %d, signature %q, %d of %d pieces, error %v: %s", name, id, a.status, a.signed, pieces, eventCount, a.err, verdict)
+			r.printf("client of %s has status %d, %d of %d pieces, error %v, %.3f s after the start: %s", id, a.status, pieces, longEvents, a.err, time.Since(start).Seconds(), verdict)
 			mu.Lock()
 			counts[verdict]++
 			mu.Unlock()
 		})
 	}
-	if trouble {
-		time.Sleep(crashAfter)
-		_ = workers[0].Process.Kill()
-		_ = awaitChild(workers[0])
-		r.printf("%s: worker 0 of %d has crashed (SIGKILL)", name, streamWorkers)
-		time.Sleep(3 * heartbeat)
-		s.store.remove("servers", fmt.Sprintf("i-%s-0", name))
-		r.printf("%s: its entry has lapsed", name)
-		time.Sleep(crashTime - 3*heartbeat)
-		if err := startOne(fmt.Sprintf("i-%s-again", name)); err != nil {
-			return 0, err
-		}
+	wg.Wait()
+	r.summary("of %d requests that were sent %s to %s after the start: %v", len(lateSends), lateSends[0], lateSends[len(lateSends)-1], counts)
+	if lateSends[0] > lateAfter && counts["passed on, and cut"] > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// sendShortStreams sends streams of the usual length.
+func sendShortStreams(r *record, g *gate) error {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	whole := 0
+	for i := range shortStreams {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			id := newAttempt()
+			a := ask(g.callers, "POST", "/draft/short", id, 8*time.Second, "a brass plate")
+			r.printf("client of %s has status %d, %d pieces, error %v", id, a.status, strings.Count(a.body, "data: "), a.err)
+			mu.Lock()
+			defer mu.Unlock()
+			if a.err == nil && a.status == 200 {
+				whole++
+			}
+		})
 	}
 	wg.Wait()
-	r.summary("%s: of %d streams: %v", name, streamCalls, counts)
-	return counts["cut, but ends as complete"], nil
+	if whole < shortStreams {
+		return fmt.Errorf("only %d of %d streams were whole before SIGTERM", whole, shortStreams)
+	}
+	return nil
 }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -11,23 +11,18 @@
 
 // Exit codes.
 const (
-	held      = 0
-	broken    = 1
-	couldNot  = 2
-	workerArg = "worker"
+	held     = 0
+	broken   = 1
+	couldNot = 2
 )
 
 var cases = map[string]func(*record, bool) (int, error){
 	"6": maps,
 	"7": prompts,
-	"8": streamEnd,
-	"9": shutdown,
+	"8": shutdown,
 }
 
 func main() {
-	if len(os.Args) == 3 && os.Args[1] == workerArg {
-		os.Exit(workerProcess(os.Args[2]))
-	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
 		os.Exit(couldNot)
