--- a/review/stand-2/case6.go
+++ b/review/stand-2/case6.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	mapDay = 100 * time.Second
+	mapDay = 85 * time.Second
 	// streamRate is the number of streams per second.
 	streamRate = 12
 	// shiftEvery is the time between two changes of the demand for experts.
@@ -26,7 +26,7 @@
 	// freezeMin and freezeMax limit how long a machine freezes. The site file has 4 s.
 	freezeMin   = 300 * time.Millisecond
 	freezeMax   = 600 * time.Millisecond
-	freezeEvery = 4 * time.Second
+	freezeEvery = 2500 * time.Millisecond
 	// afterMixed is how long the test goes on after the first pass with different maps.
 	afterMixed = 5 * time.Second
 )
