Disarm a rank only for the switch that a recovery replaces

Cause: two contenders recover one switch at the same time. The one whose map version is lower is refused by a rank that has accepted the higher one, and repeats its order for up to 2 s, also after the other contender has ended the hold. Meanwhile it disarms whatever the rank is armed with, which by then is the leader's next switch, for which the leader has all confirmations.

A rank is now disarmed only of a version below one that another rank has accepted. The rank that has accepted it can never be armed with the lower one, so nobody can have all confirmations for it. A recovery ends once a rank has been reached by a later recovery or switch.

TestOvertakenRecoveryLeavesNextSwitch fails before (pass 104: rank 2 uses map 0, rank 0 map 589874).

--- a/gate/process/ranks/guard.go
+++ b/gate/process/ranks/guard.go
@@ -23,7 +23,8 @@
 
 // recoverAbandonedSwitches completes switches whose leader has stopped midway
 // while its lease has not expired yet, since a group runs no forward passes while
-// it is held. This is safe even if the leader continues with the switch.
+// it is held. The leader may continue with the switch, and other contenders may recover it
+// at the same time; see rollBack.
 func (l *Leader) recoverAbandonedSwitches(ctx context.Context) {
 	type hold struct {
 		epoch, step uint64
--- a/gate/process/ranks/model_test.go
+++ b/gate/process/ranks/model_test.go
@@ -1,6 +1,7 @@
 package ranks
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -20,14 +21,19 @@
 // simGroup simulates a group of ranks that run forward passes together. An order
 // may be lost, its response may be lost, or it may take effect late.
 type simGroup struct {
-	mu        sync.Mutex
-	rng       *rand.Rand
-	ranks     []*simRank
-	epoch     uint64
-	step      uint64
-	delayed   []delayedOrder
-	lossRate  float64
+	mu       sync.Mutex
+	rng      *rand.Rand
+	ranks    []*simRank
+	epoch    uint64
+	step     uint64
+	delayed  []delayedOrder
+	lossRate float64
+	// copyTime is the time in which a rank copies the experts of a map.
+	copyTime time.Duration
+	// violation describes the first pass whose ranks used different maps, and mixed
+	// counts these passes.
 	violation string
+	mixed     int
 	passes    int
 }
 
@@ -35,6 +41,8 @@
 type simRank struct {
 	version, prepared            uint64
 	placement, preparedPlacement string
+	experts, preparedExperts     [][]int
+	copiedAt                     time.Time
 	armed                        bool
 	armedMap, armedStep          uint64
 	held                         bool
@@ -81,12 +89,14 @@
 	s.passes++
 	for _, r := range s.ranks {
 		if r.armed && r.armedStep == next {
-			r.version, r.placement, r.armed = r.armedMap, r.preparedPlacement, false
+			r.version, r.placement, r.experts, r.armed = r.armedMap, r.preparedPlacement, r.preparedExperts, false
 		}
 	}
 	for i, r := range s.ranks {
 		if r.version != s.ranks[0].version || r.placement != s.ranks[0].placement {
-			s.violation = fmt.Sprintf("pass %d: rank %d uses map %d, rank 0 map %d", next, i, r.version, s.ranks[0].version)
+			s.violation = cmp.Or(s.violation, fmt.Sprintf("pass %d: rank %d uses map %d, rank 0 map %d", next, i, r.version, s.ranks[0].version))
+			s.mixed++
+			break
 		}
 	}
 }
@@ -101,6 +111,20 @@
 	}
 }
 
+// report returns the state of a rank.
+func (s *simGroup) report(i int) core.RankReport {
+	r := s.ranks[i]
+	report := core.RankReport{
+		Epoch: s.epoch, Rank: i, GroupSize: len(s.ranks), Open: true, Step: s.step, Map: r.version,
+		Armed: r.armed, ArmedMap: r.armedMap, ArmedStep: r.armedStep, Held: r.held, HeldStep: r.heldStep,
+	}
+	if !time.Now().Before(r.copiedAt) {
+		report.PreparedMap = r.prepared
+	}
+	return report
+}
+
+// apply carries out an order as a rank does.
 func (s *simGroup) apply(rank int, o core.RankOrder) error {
 	r := s.ranks[rank]
 	if o.Epoch != s.epoch {
@@ -115,15 +139,23 @@
 			return trace.CompareFailed("prepare")
 		}
 		r.highestVersion, r.prepared, r.preparedPlacement = o.Map, o.Map, fmt.Sprint(o.Placement)
+		r.preparedExperts = nil
+		for _, set := range o.Placement {
+			r.preparedExperts = append(r.preparedExperts, set[rank])
+		}
+		r.copiedAt = time.Now().Add(s.copyTime)
 	case core.RankArm:
 		if r.armed && r.armedMap == o.Map && r.armedStep == o.Step {
 			return nil
 		}
-		if r.prepared != o.Map || o.Step <= s.step || r.armed {
+		if r.prepared != o.Map || time.Now().Before(r.copiedAt) || o.Step <= s.step || r.armed {
 			return trace.CompareFailed("arm")
 		}
 		r.armed, r.armedMap, r.armedStep = true, o.Map, o.Step
 	case core.RankDisarm:
+		if r.version == o.Map {
+			return trace.CompareFailed("disarm")
+		}
 		if r.armed && r.armedMap == o.Map {
 			r.armed = false
 		}
@@ -189,12 +221,7 @@
 func (l *simClient) Report(_ context.Context, rank core.RankAddr, _ bool) (core.RankReport, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	i := int(rank.Engine.Port())
-	r := l.ranks[i]
-	return core.RankReport{
-		Epoch: l.epoch, Rank: i, GroupSize: len(l.ranks), Open: true, Step: l.step, Map: r.version, PreparedMap: r.prepared,
-		Armed: r.armed, ArmedMap: r.armedMap, ArmedStep: r.armedStep, Held: r.held, HeldStep: r.heldStep,
-	}, nil
+	return l.report(int(rank.Engine.Port())), nil
 }
 
 func (l *simClient) Placement(_ context.Context, rank core.RankAddr) (uint64, [][]int, error) {
--- a/gate/process/ranks/recover.go
+++ b/gate/process/ranks/recover.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -11,14 +11,21 @@
 	"parsleyroute.example/core/process/clock"
 )
 
-// recoverTimeout bounds one attempt to finish a switch that a former leader
-// began. The next round tries again.
-const recoverTimeout = 2 * time.Second
+const (
+	// recoverTimeout bounds one attempt to finish a switch that a former leader
+	// began. The next round tries again.
+	recoverTimeout = 2 * time.Second
+	// refusedPrepareTimeout is how long a rank that refuses a version is asked whether it
+	// has accepted an earlier copy of the order, whose response was lost.
+	refusedPrepareTimeout = 300 * time.Millisecond
+)
 
 // unfinishedSwitch describes a reported switch that this leader has not released
 // itself.
 type unfinishedSwitch struct {
-	armedCount    int
+	armedCount int
+	// version is the map that ranks are armed with; zero if none is armed. step is the
+	// forward pass before which they switch, or the held one.
 	version, step uint64
 	holdingRanks  []int
 }
@@ -120,11 +127,12 @@
 }
 
 // rollBack disarms every rank and replaces the prepared version that the former
-// leader would arm. It has each rank prepare the map in use under a new version,
-// which a rank that has not prepared that version yet refuses only while it is
-// armed. Ranks are disarmed only after at least one rank has accepted: the former
-// leader can then no longer get confirmations from all ranks. rollBack returns
-// trace.CompareFailed if all ranks are armed.
+// leader would arm, by the map in use under a new version. An armed rank refuses that. It
+// is disarmed only if a rank has accepted a higher version than the one with which it is
+// armed: that rank can never be armed with the lower one, so nobody has or will get the
+// confirmations of all ranks for it. A rank that is armed with a higher version, or refuses
+// for another reason, has been reached by a later recovery or switch. rollBack then returns
+// trace.CompareFailed, as it does if all ranks are armed.
 func (g *group) rollBack(ctx context.Context) error {
 	if g.placement == nil {
 		if err := g.readPlacement(ctx); err != nil {
@@ -132,57 +140,67 @@
 		}
 	}
 	version := g.nextVersion()
-	refused := make([]bool, len(g.spec.Members))
+	var accepted atomic.Bool
+	armedWith := make([]uint64, len(g.spec.Members))
 	if err := g.forEachRank(func(rank int) error {
-		accepted, err := g.prepareIfUnarmed(ctx, rank, version)
-		refused[rank] = !accepted
+		armed, err := g.prepareUnlessArmed(ctx, rank, version)
+		if armedWith[rank] = armed; err == nil && armed == 0 {
+			accepted.Store(true)
+		}
 		return err
 	}); err != nil {
 		return err
 	}
-	if !slices.Contains(refused, false) {
+	if !accepted.Load() {
 		return trace.CompareFailed("all ranks are armed")
 	}
 	return g.forEachRank(func(rank int) error {
-		for refused[rank] {
-			r, err := g.readReport(ctx, rank, false)
-			switch {
-			case ctx.Err() != nil:
+		for armedWith[rank] != 0 {
+			if ctx.Err() != nil {
 				return trace.ConnectionProblem(ctx.Err(), "rank %d was not disarmed in time", rank)
-			case err == nil && r.Epoch != g.epoch:
-				return trace.CompareFailed("the group has re-formed")
-			case err == nil && r.Armed:
-				if err := g.orderUntilResponse(ctx, rank, core.RankOrder{Verb: core.RankDisarm, Map: r.ArmedMap}); err != nil && !trace.IsCompareFailed(err) {
-					return err
-				}
 			}
-			accepted, err := g.prepareIfUnarmed(ctx, rank, version)
-			if err != nil {
+			if armedWith[rank] >= version {
+				return trace.CompareFailed("rank %d is armed with map %d of a later switch", rank, armedWith[rank])
+			}
+			if err := g.orderUntilResponse(ctx, rank, core.RankOrder{Verb: core.RankDisarm, Map: armedWith[rank]}); err != nil && !trace.IsCompareFailed(err) {
 				return err
 			}
-			if refused[rank] = !accepted; refused[rank] {
-				_ = clock.Real{}.Sleep(ctx, orderRetryDelay)
+			armed, err := g.prepareUnlessArmed(ctx, rank, version)
+			if err != nil {
+				return err
 			}
+			armedWith[rank] = armed
 		}
 		return nil
 	})
 }
 
-// prepareIfUnarmed orders a rank to prepare the map in use under the given
-// version and reports whether the rank has accepted. An armed rank refuses.
-func (g *group) prepareIfUnarmed(ctx context.Context, rank int, version uint64) (bool, error) {
-	err := g.orderUntilResponse(ctx, rank, core.RankOrder{Verb: core.RankPrepare, Map: version, Placement: g.placement})
-	if err == nil || !trace.IsCompareFailed(err) {
-		return err == nil, err
-	}
-	r, err := g.readReport(ctx, rank, false)
-	if err != nil {
-		return false, err
+// prepareUnlessArmed has a rank prepare the map in use under the given version, and waits
+// until it has. If the rank refuses because it is armed, it returns the version with which
+// it is armed. It fails with trace.CompareFailed if the rank refuses for another reason.
+func (g *group) prepareUnlessArmed(ctx context.Context, rank int, version uint64) (armedWith uint64, err error) {
+	refusal := g.orderUntilResponse(ctx, rank, core.RankOrder{Verb: core.RankPrepare, Map: version, Placement: g.placement})
+	if refusal != nil && !trace.IsCompareFailed(refusal) {
+		return 0, refusal
 	}
-	if r.Epoch != g.epoch {
-		return false, trace.CompareFailed("the group has re-formed")
+	for start := time.Now(); ; {
+		r, err := g.readReport(ctx, rank, false)
+		switch {
+		case ctx.Err() != nil:
+			return 0, trace.ConnectionProblem(ctx.Err(), "rank %d has not prepared map %d in time", rank, version)
+		case err != nil:
+		case r.Epoch != g.epoch:
+			return 0, trace.CompareFailed("the group has re-formed")
+		case r.PreparedMap == version:
+			// Also if an earlier order took effect and its response was lost.
+			return 0, nil
+		case refusal != nil && r.Armed:
+			return r.ArmedMap, nil
+		case r.PreparedMap > version || r.Map > version:
+			return 0, trace.CompareFailed("rank %d has a later map than %d", rank, version)
+		case refusal != nil && time.Since(start) > refusedPrepareTimeout:
+			return 0, refusal
+		}
+		_ = clock.Real{}.Sleep(ctx, orderRetryDelay)
 	}
-	// If an earlier order took effect and its response was lost, the rank refuses
-	// the repeated order although it has prepared the version.
-	return r.PreparedMap == version, nil
 }
--- /dev/null
+++ b/gate/process/ranks/recover_test.go
@@ -0,0 +1,105 @@
+package ranks
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"parsleyroute.example/core"
+)
+
+// leaderSwitch gives the orders of a leader to a simulated group, one phase at a time.
+type leaderSwitch struct {
+	g       *WithT
+	group   *simGroup
+	version uint64
+	step    uint64
+}
+
+func (l *leaderSwitch) order(rank int, o core.RankOrder) {
+	l.group.mu.Lock()
+	defer l.group.mu.Unlock()
+	o.Epoch, o.Token = l.group.epoch, 1
+	l.g.Expect(l.group.apply(rank, o)).To(Succeed(), "%s at rank %d", o.Verb, rank)
+}
+
+func (l *leaderSwitch) prepareAndHold() {
+	for i := range l.group.ranks {
+		placement := make([][]int, len(l.group.ranks))
+		l.order(i, core.RankOrder{Verb: core.RankPrepare, Map: l.version, Placement: [][][]int{placement}})
+	}
+	l.order(holdingRank, core.RankOrder{Verb: core.RankHold, Step: l.step})
+}
+
+func (l *leaderSwitch) arm(ranks ...int) {
+	for _, i := range ranks {
+		l.order(i, core.RankOrder{Verb: core.RankArm, Map: l.version, Step: l.step})
+	}
+}
+
+func (l *leaderSwitch) release() {
+	l.order(holdingRank, core.RankOrder{Verb: core.RankRelease, Step: l.step})
+}
+
+// gatedClient is the client of a contender that stands still before an order that matches,
+// until proceed is closed.
+type gatedClient struct {
+	*simClient
+	matches func(rank int, o core.RankOrder) bool
+	reached chan struct{}
+	proceed chan struct{}
+}
+
+func (c *gatedClient) Order(ctx context.Context, rank core.RankAddr, o core.RankOrder) error {
+	if c.matches(int(rank.Engine.Port()), o) {
+		select {
+		case <-c.reached:
+		default:
+			close(c.reached)
+		}
+		<-c.proceed
+	}
+	return c.simClient.Order(context.WithoutCancel(ctx), rank, o)
+}
+
+func newGatedClient(s *simGroup, matches func(rank int, o core.RankOrder) bool) *gatedClient {
+	return &gatedClient{simClient: &simClient{simGroup: s}, matches: matches, reached: make(chan struct{}), proceed: make(chan struct{})}
+}
+
+// Guards against a recovery that was overtaken by another one and then disarms a rank for
+// the leader's next switch, for which the leader already has all confirmations.
+func TestOvertakenRecoveryLeavesNextSwitch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSimGroup(1, 4, 0)
+		s.step = 100
+		first := &leaderSwitch{g: g, group: s, version: 1<<nonceBits | 50, step: 101}
+		first.prepareAndHold()
+		slow := newGatedClient(s, func(rank int, o core.RankOrder) bool { return rank == 2 && o.Verb == core.RankPrepare })
+		done := make(chan error, 1)
+		go func() {
+			contender := s.newGroup(slow.simClient, 1, 11)
+			contender.ranks, contender.direct = slow, slow
+			done <- contender.recoverSwitch(context.Background(), s.epoch)
+		}()
+		<-slow.reached
+		synctest.Wait()
+		g.Expect(s.newGroup(&simClient{simGroup: s}, 1, 22).recoverSwitch(context.Background(), s.epoch)).To(Succeed())
+		for range 3 {
+			s.beginPass()
+		}
+		g.Expect(s.step).To(BeEquivalentTo(103), "the other contender has ended the hold")
+		next := &leaderSwitch{g: g, group: s, version: 9<<nonceBits | 50, step: 104}
+		next.prepareAndHold()
+		next.arm(0, 1, 2, 3)
+		close(slow.proceed)
+		time.Sleep(100 * time.Millisecond)
+		next.release()
+		s.beginPass()
+		g.Expect(s.violation).To(BeEmpty())
+		g.Expect(<-done).To(HaveOccurred())
+	})
+}
