End a hold only once all ranks have promised the same switch

Cause: a recovery that could not complete a switch disarmed the ranks and ended the hold. Without traffic the held pass had not begun, so that the leader's next switch could hold the same pass. A release of the first recovery that arrives late, or of a second recovery, then ends the hold of that switch while some of its ranks are not armed.

A recovery now switches the group to the map in use under a new version, under the same hold, instead of leaving it without a switch. A hold ends only with all ranks armed alike, so that no other switch can hold that pass again, and copies of the release have no effect. A leader does not take over a hold that it finds, and a switch that is found without a hold is held first.

--- a/gate/process/ranks/doc.go
+++ b/gate/process/ranks/doc.go
@@ -26,8 +26,13 @@
 // all confirmations and its release may be in transit. There is one exception:
 // a rank that no longer has the version prepared can never be armed with it, so
 // the former leader cannot have released the hold and never will. Only then are
-// the armed ranks disarmed, and the hold is released once no rank can be armed
-// any more.
+// the armed ranks disarmed, and the group switches to the map in use under a new
+// version instead.
+//
+// A hold thus always ends with all ranks armed with one version before the held
+// pass. No other switch can hold that pass again, so that several gates may recover
+// a switch at once and late copies of their orders have no effect. The leader and the
+// contenders use the same token, and ranks do not count these orders in their sequence.
 //
 // Restarted or reconnected ranks form a group with a new epoch, in which nothing
 // is prepared, armed or held. Every order carries the epoch.
--- a/gate/process/ranks/guard.go
+++ b/gate/process/ranks/guard.go
@@ -24,7 +24,7 @@
 // recoverAbandonedSwitches completes switches whose leader has stopped midway
 // while its lease has not expired yet, since a group runs no forward passes while
 // it is held. The leader may continue with the switch, and other contenders may recover it
-// at the same time; see rollBack.
+// at the same time; see replaceSwitch.
 func (l *Leader) recoverAbandonedSwitches(ctx context.Context) {
 	type hold struct {
 		epoch, step uint64
--- a/gate/process/ranks/recover.go
+++ b/gate/process/ranks/recover.go
@@ -62,13 +62,26 @@
 	return nil
 }
 
-// finishSwitch completes an unfinished switch, or rolls it back if it cannot be
-// completed.
+// finishSwitch completes an unfinished switch. If that is impossible, it switches the
+// group to the map in use under a new version instead. In both cases the hold ends only
+// once every rank has promised the same switch before the held pass, so that no other
+// switch can hold this pass again: a late copy of the release is then harmless.
 func (g *group) finishSwitch(ctx context.Context, u *unfinishedSwitch) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recoverTimeout)
 	defer cancel()
 	g.decisionLog.Log("switch_found", "group", g.spec.Name, "epoch", g.epoch, "armed", u.armedCount, "map", u.version, "step", u.step, "held", len(u.holdingRanks), "token", g.token)
-	complete := u.armedCount > 0
+	if len(u.holdingRanks) == 0 {
+		// The pass must not begin before all ranks are armed.
+		err := g.orderUntilResponse(ctx, holdingRank, core.RankOrder{Verb: core.RankHold, Step: u.step})
+		switch {
+		case trace.IsCompareFailed(err) && g.passHasBegun(ctx, u):
+			return nil
+		case err != nil:
+			return trace.Wrap(err, "hold")
+		}
+		u.holdingRanks = []int{holdingRank}
+	}
+	version, complete := u.version, u.armedCount > 0
 	if complete {
 		err := g.armAll(ctx, u.version, u.step)
 		switch {
@@ -82,9 +95,10 @@
 		}
 	}
 	if !complete {
+		var err error
 		// If all ranks are armed by now, the next round completes the switch.
-		if err := g.rollBack(ctx); err != nil {
-			return trace.Wrap(err, "roll back")
+		if version, err = g.replaceSwitch(ctx, u); err != nil {
+			return trace.Wrap(err, "replace")
 		}
 	}
 	for _, rank := range u.holdingRanks {
@@ -101,7 +115,7 @@
 			return trace.Wrap(err, "release")
 		}
 	}
-	g.decisionLog.Log("switch_ended", "group", g.spec.Name, "epoch", g.epoch, "map", u.version, "step", u.step, "completed", complete)
+	g.decisionLog.Log("switch_ended", "group", g.spec.Name, "epoch", g.epoch, "map", version, "step", u.step, "completed", complete, "token", g.token)
 	// The next round after the switch's pass reads the map in use again.
 	g.placement, g.pending = nil, nil
 	return nil
@@ -126,17 +140,20 @@
 	return false
 }
 
-// rollBack disarms every rank and replaces the prepared version that the former
-// leader would arm, by the map in use under a new version. An armed rank refuses that. It
-// is disarmed only if a rank has accepted a higher version than the one with which it is
-// armed: that rank can never be armed with the lower one, so nobody has or will get the
-// confirmations of all ranks for it. A rank that is armed with a higher version, or refuses
-// for another reason, has been reached by a later recovery or switch. rollBack then returns
-// trace.CompareFailed, as it does if all ranks are armed.
-func (g *group) rollBack(ctx context.Context) error {
+// replaceSwitch has all ranks promise a switch to the map in use, under a new version,
+// before the held pass. It returns that version.
+//
+// Every rank first prepares the new version, which replaces the one that the former
+// leader would arm. An armed rank refuses that. It is disarmed only if a rank has accepted
+// a higher version than the one with which it is armed: that rank can never be armed with
+// the lower one, so nobody has or will get the confirmations of all ranks for it. A rank
+// that is armed with a higher version, or refuses for another reason, has been reached by
+// a later recovery or switch. replaceSwitch then returns trace.CompareFailed, as it does
+// if all ranks are armed.
+func (g *group) replaceSwitch(ctx context.Context, u *unfinishedSwitch) (uint64, error) {
 	if g.placement == nil {
 		if err := g.readPlacement(ctx); err != nil {
-			return err
+			return 0, err
 		}
 	}
 	version := g.nextVersion()
@@ -149,12 +166,12 @@
 		}
 		return err
 	}); err != nil {
-		return err
+		return 0, err
 	}
 	if !accepted.Load() {
-		return trace.CompareFailed("all ranks are armed")
+		return 0, trace.CompareFailed("all ranks are armed")
 	}
-	return g.forEachRank(func(rank int) error {
+	if err := g.forEachRank(func(rank int) error {
 		for armedWith[rank] != 0 {
 			if ctx.Err() != nil {
 				return trace.ConnectionProblem(ctx.Err(), "rank %d was not disarmed in time", rank)
@@ -172,7 +189,10 @@
 			armedWith[rank] = armed
 		}
 		return nil
-	})
+	}); err != nil {
+		return 0, err
+	}
+	return version, trace.Wrap(g.armAll(ctx, version, u.step))
 }
 
 // prepareUnlessArmed has a rank prepare the map in use under the given version, and waits
--- a/gate/process/ranks/recover_test.go
+++ b/gate/process/ranks/recover_test.go
@@ -103,3 +103,49 @@
 		g.Expect(<-done).To(HaveOccurred())
 	})
 }
+
+// Guards against a release by a recovery that arrives late, in a group without traffic, and
+// ends the hold of a later switch before the same pass while only some ranks are armed.
+func TestLateReleaseOfRecovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSimGroup(1, 4, 0)
+		s.step = 100
+		first := &leaderSwitch{g: g, group: s, version: 1<<nonceBits | 50, step: 101}
+		first.prepareAndHold()
+		slow := newGatedClient(s, func(_ int, o core.RankOrder) bool { return o.Verb == core.RankRelease })
+		done := make(chan error, 1)
+		go func() {
+			contender := s.newGroup(slow.simClient, 1, 11)
+			contender.ranks, contender.direct = slow, slow
+			done <- contender.recoverSwitch(context.Background(), s.epoch)
+		}()
+		<-slow.reached
+		g.Expect(s.newGroup(&simClient{simGroup: s}, 1, 22).recoverSwitch(context.Background(), s.epoch)).To(Succeed())
+		// No pass begins, so that the leader holds the same one for its next switch. It
+		// gives up if it finds that ranks are armed.
+		leader := s.newGroup(&simClient{simGroup: s}, 1, 50)
+		frozen := newGatedClient(s, func(rank int, o core.RankOrder) bool { return rank == 3 && o.Verb == core.RankArm })
+		leader.ranks, leader.direct = frozen, frozen
+		reports := make([]core.RankReport, len(s.ranks))
+		for i := range s.ranks {
+			reports[i] = s.report(i)
+			leader.highestVersion = max(leader.highestVersion, reports[i].PreparedMap)
+		}
+		switched := make(chan error, 1)
+		go func() { switched <- leader.switchTo(context.Background(), leader.placement) }()
+		synctest.Wait()
+		close(slow.proceed)
+		g.Expect(<-done).To(Succeed())
+		for range 3 {
+			s.beginPass()
+		}
+		g.Expect(s.violation).To(BeEmpty())
+		close(frozen.proceed)
+		<-switched
+		for range 3 {
+			s.beginPass()
+		}
+		g.Expect(s.violation).To(BeEmpty())
+	})
+}
--- a/gate/process/ranks/switch.go
+++ b/gate/process/ranks/switch.go
@@ -185,6 +185,10 @@
 		if r.Epoch != g.epoch {
 			return 0, trace.CompareFailed("the group has re-formed")
 		}
+		if r.Held {
+			// A rank confirms a hold that it has already, which belongs to another switch.
+			return 0, trace.CompareFailed("the group is held before pass %d", r.HeldStep)
+		}
 		step := r.Step + margin
 		err = g.orderUntilResponse(ctx, holdingRank, core.RankOrder{Verb: core.RankHold, Step: step})
 		if err == nil {
