Unify the maps of ranks that differ

The leader waited until the maps were the same and did nothing about it, and a recovery failed since it could not learn one map, so that a hold stayed.

The leader now finds different maps in two rounds and switches all ranks to one version, by the usual switch. Each rank keeps the experts that it holds, so that nothing is copied, unless an expert is left without a rank. A new leader does the same in its first rounds.

TestDifferentMapsAreUnified fails before (maps 458753 and 524290 for good); TestComplete checks the limits of the placement.

--- a/core/version/expert/bounded.go
+++ b/core/version/expert/bounded.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 
+	"github.com/gravitational/trace"
+
 	"parsleyroute.example/core"
 )
 
@@ -80,6 +82,51 @@
 	return count, maxPerRank
 }
 
+// Complete returns a placement with the experts that no rank holds in p added. A rank
+// holds at most maxPerSet experts of a set in it, of which at most maxNewPerSet are new to
+// it. To make room, a rank gives up an expert that another rank holds too. Complete fails
+// with trace.LimitExceeded if the limits leave no room.
+func (p Placement) Complete(experts, maxPerSet, maxNewPerSet int) (Placement, error) {
+	c := p.Clone()
+	for s, ranks := range c {
+		holders := make([]int, experts)
+		for _, list := range ranks {
+			for _, e := range list {
+				holders[e]++
+			}
+		}
+		added := make([]int, len(ranks))
+		for e := range experts {
+			if holders[e] > 0 {
+				continue
+			}
+			best, replaced := -1, -1
+			for r, list := range ranks {
+				spare := slices.IndexFunc(list, func(other int) bool { return holders[other] > 1 })
+				if added[r] >= maxNewPerSet || len(list) >= maxPerSet && spare < 0 {
+					continue
+				}
+				if best < 0 || len(list) < len(ranks[best]) {
+					if best, replaced = r, -1; len(list) >= maxPerSet {
+						replaced = spare
+					}
+				}
+			}
+			if best < 0 {
+				return nil, trace.LimitExceeded("no rank has room for expert %d of set %d", e, s)
+			}
+			if replaced >= 0 {
+				holders[ranks[best][replaced]]--
+				ranks[best] = slices.Delete(ranks[best], replaced, replaced+1)
+			}
+			ranks[best] = append(ranks[best], e)
+			holders[e]++
+			added[best]++
+		}
+	}
+	return c, nil
+}
+
 // placementLoads returns the load of each rank in one set.
 func placementLoads(ranks [][]int, load []float64) []float64 {
 	n := make([]int, len(load))
--- a/core/version/expert/bounded_test.go
+++ b/core/version/expert/bounded_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"github.com/gravitational/trace"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
@@ -57,6 +58,52 @@
 	})
 }
 
+// Guards against a placement that ranks refuse, since an expert is missing in it or a rank
+// holds too many.
+func TestComplete(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		s := drawShape(t)
+		maxPerSet, maxNew := s.SlotsPerRank+rapid.IntRange(0, 1).Draw(t, "free"), rapid.IntRange(1, 3).Draw(t, "max new")
+		p := expert.RoundRobin(s.Layers, s.Ranks, s.Experts)
+		for l := range p {
+			for r := range p[l] {
+				for i := range p[l][r] {
+					if rapid.IntRange(0, 3).Draw(t, "changed") == 0 {
+						e := rapid.IntRange(0, s.Experts-1).Draw(t, "expert")
+						if !slices.Contains(p[l][r], e) {
+							p[l][r][i] = e
+						}
+					}
+				}
+			}
+		}
+		before := p.Clone()
+		next, err := p.Complete(s.Experts, maxPerSet, maxNew)
+		g.Expect(p).To(Equal(before), "the receiver is not changed")
+		if err != nil {
+			g.Expect(trace.IsLimitExceeded(err)).To(BeTrue())
+			return
+		}
+		for l := range next {
+			held := map[int]bool{}
+			for r, list := range next[l] {
+				g.Expect(len(list)).To(BeNumerically("<=", maxPerSet))
+				added := 0
+				for _, e := range list {
+					held[e] = true
+					if !slices.Contains(p[l][r], e) {
+						added++
+					}
+				}
+				g.Expect(added).To(BeNumerically("<=", maxNew))
+				g.Expect(slices.Compact(slices.Sorted(slices.Values(list)))).To(HaveLen(len(list)))
+			}
+			g.Expect(held).To(HaveLen(s.Experts))
+		}
+	})
+}
+
 // skewedLoad returns a load with a skew typical of the engines: in each of four
 // sets, a few of the 72 experts get a tenth of the tokens each.
 func skewedLoad() core.ExpertLoad {
--- a/gate/process/ranks/group.go
+++ b/gate/process/ranks/group.go
@@ -89,6 +89,10 @@
 	placement expert.Placement
 	// pending is the last released switch until the ranks report its map in use.
 	pending *pendingSwitch
+	// differentMaps holds the versions of the ranks in the last round, if they differed,
+	// and differentRounds is the number of rounds for which they have.
+	differentMaps   []uint64
+	differentRounds int
 
 	// samples holds the last counts of each rank, and average the moving average
 	// of their increases.
--- a/gate/process/ranks/recover_test.go
+++ b/gate/process/ranks/recover_test.go
@@ -149,3 +149,34 @@
 		g.Expect(s.violation).To(BeEmpty())
 	})
 }
+
+// Guards against ranks that use different maps for good, whatever the cause: also those
+// that no switch of this program has left so.
+func TestDifferentMapsAreUnified(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSimGroup(1, 4, 0)
+		s.step = 100
+		for i, version := range []uint64{7<<nonceBits | 1, 7<<nonceBits | 1, 8<<nonceBits | 2, 7<<nonceBits | 1} {
+			s.ranks[i].version, s.ranks[i].placement, s.ranks[i].highestVersion = version, "foreign", version
+		}
+		stop := s.runPasses()
+		defer stop()
+		leader := s.newGroup(&simClient{simGroup: s}, 9, 50)
+		leader.load, leader.placement = nil, nil
+		for range 5 {
+			g.Expect(leader.runRound(context.Background())).To(Succeed())
+			time.Sleep(minRoundInterval)
+		}
+		s.mu.Lock()
+		mixed := s.mixed
+		for _, r := range s.ranks {
+			g.Expect(r.version).To(Equal(s.ranks[0].version))
+		}
+		s.mu.Unlock()
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		g.Expect(s.mixed).To(Equal(mixed))
+	})
+}
--- a/gate/process/ranks/round.go
+++ b/gate/process/ranks/round.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -91,6 +93,9 @@
 	if u := g.findUnfinishedSwitch(reports); u != nil {
 		return g.finishSwitch(ctx, u)
 	}
+	if g.ranksDiffer(reports) {
+		return g.unify(ctx)
+	}
 	if !g.confirmSettled(reports) {
 		return nil
 	}
@@ -145,7 +150,44 @@
 	return true
 }
 
-// readPlacement reads the placement in use from the ranks.
+// minDifferentRounds is the number of rounds in a row that must find the same different
+// maps before the ranks are unified, since reports are not all read at the same time.
+const minDifferentRounds = 2
+
+// ranksDiffer reports whether ranks use different maps and none is about to switch.
+func (g *group) ranksDiffer(reports []core.RankReport) bool {
+	versions := make([]uint64, len(reports))
+	settled, differ := true, false
+	for i, r := range reports {
+		versions[i] = r.Map
+		settled = settled && !r.Armed && !r.Held
+		differ = differ || r.Map != reports[0].Map
+	}
+	switch {
+	case !settled || !differ:
+		g.differentRounds, g.differentMaps = 0, nil
+		return false
+	case !slices.Equal(versions, g.differentMaps):
+		g.differentRounds, g.differentMaps = 0, versions
+	}
+	g.differentRounds++
+	return g.differentRounds >= minDifferentRounds
+}
+
+// unify switches ranks that use different maps to one version. Each rank keeps the experts
+// that it holds, so that nothing is copied unless no rank holds an expert.
+func (g *group) unify(ctx context.Context) error {
+	if err := g.readPlacement(ctx); err != nil {
+		return trace.Wrap(err, "learn")
+	}
+	g.decisionLog.Log("maps_differ", "group", g.spec.Name, "epoch", g.epoch, "maps", fmt.Sprint(g.differentMaps), "token", g.token)
+	meter.Event("maps_differ")
+	g.differentRounds, g.differentMaps = 0, nil
+	return g.switchTo(ctx, g.placement)
+}
+
+// readPlacement reads the experts that each rank holds. If the ranks use different maps,
+// the version of the placement is zero, and experts that no rank holds are added to it.
 func (g *group) readPlacement(ctx context.Context) error {
 	e := &g.spec.Engine
 	placement := make(expert.Placement, e.LayerSets)
@@ -174,12 +216,17 @@
 	}); err != nil {
 		return err
 	}
-	for i, v := range versions {
+	g.version = versions[0]
+	for _, v := range versions {
 		if v != versions[0] {
-			return trace.CompareFailed("rank %d uses map %d, rank 0 map %d", i, v, versions[0])
+			g.version = 0
 		}
 	}
-	g.version, g.placement = versions[0], placement
+	complete, err := placement.Complete(e.Experts, e.SlotsPerRank, e.MaxNewExperts)
+	if err != nil {
+		return err
+	}
+	g.placement = complete
 	g.decisionLog.Log("map_learned", "group", g.spec.Name, "epoch", g.epoch, "map", g.version)
 	return nil
 }
--- a/gate/process/ranks/switch.go
+++ b/gate/process/ranks/switch.go
@@ -49,7 +49,7 @@
 	start := time.Now()
 	// "observed" is the time that the load covers, "pause_share" the gap share.
 	g.decisionLog.Log("map_planned", "group", g.spec.Name, "epoch", g.epoch, "map", version, "former", g.version, "token", g.token,
-		"skew", g.placement.Skew(g.load, g.slowdowns), "expected_skew", next.Skew(g.load, g.slowdowns), "new_experts", total, "observed", g.loadDuration, "pause_share", g.gapShare)
+		"skew", g.skew(g.placement), "expected_skew", g.skew(next), "new_experts", total, "observed", g.loadDuration, "pause_share", g.gapShare)
 	if err := g.prepareAll(ctx, version, next, time.Duration(maxPerRank)*cmp.Or(g.spec.Engine.ExpertCopyTime, defaultExpertCopyTime)+prepareMargin); err != nil {
 		return trace.Wrap(err, "prepare")
 	}
@@ -76,6 +76,14 @@
 	return nil
 }
 
+// skew returns the skew of a placement under the present load, zero if that is unknown.
+func (g *group) skew(p expert.Placement) float64 {
+	if g.load == nil {
+		return 0
+	}
+	return p.Skew(g.load, g.slowdowns)
+}
+
 // forEachRank calls f concurrently for all ranks and returns the error of the
 // first rank that has one.
 func (g *group) forEachRank(f func(rank int) error) error {
