Forget a pending switch that another one has followed

Found by reading: a leader that has released a switch waits until the ranks report its map in use. If another leader or a contender has switched the group to a later map before the next round, that never happens, and the leader plans no further map in its term, so that passes stay skewed.

The pending switch is forgotten once its pass has begun with another map. TestPendingSwitchIsOvertaken fails before.

--- a/gate/process/ranks/recover_test.go
+++ b/gate/process/ranks/recover_test.go
@@ -180,3 +180,14 @@
 		g.Expect(s.mixed).To(Equal(mixed))
 	})
 }
+
+// Guards against a leader that waits for the map of its last switch for good, because
+// another leader or contender has switched the group since.
+func TestPendingSwitchIsOvertaken(t *testing.T) {
+	g := NewWithT(t)
+	group := &group{pending: &pendingSwitch{version: 7, step: 20}}
+	g.Expect(group.confirmSettled([]core.RankReport{{Map: 6, Step: 19}})).To(BeFalse())
+	g.Expect(group.pending).NotTo(BeNil(), "the pass has not begun")
+	g.Expect(group.confirmSettled([]core.RankReport{{Map: 9, Step: 30}})).To(BeFalse())
+	g.Expect(group.confirmSettled([]core.RankReport{{Map: 9, Step: 31}})).To(BeTrue())
+}
--- a/gate/process/ranks/round.go
+++ b/gate/process/ranks/round.go
@@ -141,6 +141,10 @@
 	}
 	if p := g.pending; p != nil {
 		if reports[0].Map != p.version {
+			if reports[0].Step >= p.step {
+				// A switch of another leader or contender has followed.
+				g.pending, g.placement = nil, nil
+			}
 			return false
 		}
 		g.version, g.placement, g.pending = p.version, p.placement, nil
