Take late requests in a shutdown only if they end for certain

The rule excuses such a cut only for requests sent within 3 s.

Cause: a gate takes requests for 3.2 s after SIGTERM and judged all of them by the durations of earlier responses. A stream that takes longer than any before by more than a quarter is then cut off. The estimate cannot be made safe, since nothing bounds a stream but its deadline.

Requests that are received later than 2.7 s after SIGTERM are now sent only if their deadline lies before the end of the shutdown; the others get 503 and can go to another gate. The 0.3 s allow for a signal that is handled late. This is decided once, by policy.Shutdown, for first sends, after a wait, retries, resumed streams and standbys. Earlier requests are judged as before, since more of them would otherwise have to come back for nothing.

--- a/fakes/soak/system_test.go
+++ b/fakes/soak/system_test.go
@@ -49,6 +49,8 @@
 	gates   []*gate
 	checks  *checks
 	faults  *faultLevel
+	// grace is the time in which the gates must exit, and timeout that of all routes.
+	grace, timeout time.Duration
 
 	mu      sync.Mutex
 	version int
@@ -104,7 +106,13 @@
 
 func startSystem(t *testing.T, rng *rand.Rand) *system {
 	t.Helper()
-	s := &system{t: t, dir: t.TempDir(), store: &meta.Server{}, checks: newChecks(), faults: &faultLevel{}}
+	return startSystemWith(t, rng, grace, 3*time.Second)
+}
+
+// startSystemWith starts a system with another grace and another timeout of its routes.
+func startSystemWith(t *testing.T, rng *rand.Rand, grace, timeout time.Duration) *system {
+	t.Helper()
+	s := &system{t: t, dir: t.TempDir(), store: &meta.Server{}, checks: newChecks(), faults: &faultLevel{}, grace: grace, timeout: timeout}
 	if err := s.store.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -146,7 +154,7 @@
 func (s *system) writeSettings(g *gate, seeds []netip.AddrPort) {
 	settings := &site.GateSettings{
 		Name: g.name, CallerAddr: g.callers, ReadyAddr: g.ready, PeerAddr: g.peers, MetricsAddr: g.metrics,
-		StoreAddr: s.store.Addr(), SeedAddrs: seeds, GracePeriod: grace,
+		StoreAddr: s.store.Addr(), SeedAddrs: seeds, GracePeriod: s.grace,
 	}
 	if err := settings.Write(g.settings); err != nil {
 		s.t.Fatal(err)
@@ -164,7 +172,7 @@
 		for _, r := range []struct{ kind, pool string }{{"safe", site.PlainPool}, {"unsafe", site.PlainPool}, {"streaming", site.StreamPool}} {
 			routes = append(routes, site.Route{
 				Name: p + r.kind, Host: "h", Prefix: p + r.kind + "/", Kind: r.kind, Pool: r.pool,
-				Timeout: 3 * time.Second, GapLimit: 200 * time.Millisecond,
+				Timeout: s.timeout, GapLimit: 200 * time.Millisecond,
 			})
 		}
 	}
--- a/gate/request/relay/drain.go
+++ b/gate/request/relay/drain.go
@@ -7,19 +7,19 @@
 	"github.com/valyala/fasthttp"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/gate/process/policy"
 )
 
 // drainRetryAfter is the Retry-After time of requests that the shutdown of this gate
 // would cut off. The caller's next connection goes to another gate.
 const drainRetryAfter = 100 * time.Millisecond
 
-// Drain sets the time by which all requests must have their final response, because the
-// gate shuts down. Requests that cannot have one by then are refused from now on. Those
-// in flight at that time are given up.
-func (r *Relay) Drain(until time.Time) {
+// Drain begins the shutdown of the gate. Requests that s does not send are refused from now
+// on, and those in flight at its end are given up.
+func (r *Relay) Drain(s policy.Shutdown) {
 	r.initShutdown()
-	r.drainUntil.Store(&until)
-	time.AfterFunc(time.Until(until), r.giveUp)
+	r.draining.Store(&s)
+	time.AfterFunc(time.Until(s.End), r.giveUp)
 }
 
 // initShutdown creates the context that ends at the end of the shutdown.
@@ -36,21 +36,23 @@
 	return ctx, func() { stop(); cancel() }
 }
 
-// refuseDraining ends the request and returns true if the gate is shutting down and would
-// probably cut off the response. A request that may run only once must be able to use its
-// whole time. Any other is sent if the responses of its pool have been short enough: its
-// caller would otherwise have to come back to another gate for nothing.
+// sendsWhileDraining reports whether the shutdown of the gate, if it has begun, leaves time
+// to send the request now.
+func (t *transaction) sendsWhileDraining(now time.Time) bool {
+	s := t.relay.draining.Load()
+	return s == nil || s.Sends(now, t.start, t.deadline, t.repeatable(), &t.poolState.durations)
+}
+
+// refuseDraining ends the request and returns true if the gate is shutting down and might
+// cut off the response.
 func (t *transaction) refuseDraining(ctx context.Context) bool {
-	until := t.relay.drainUntil.Load()
-	if until == nil || !t.deadline.After(*until) {
-		return false
-	}
 	now := time.Now()
-	if t.repeatable() && t.poolState.durations.EndsInTime(now, *until) {
+	if t.sendsWhileDraining(now) {
 		return false
 	}
+	s := t.relay.draining.Load()
 	expected, known := t.poolState.durations.Expected(now)
-	t.log("drain_refused", "left", until.Sub(now), "needed", t.deadline.Sub(now), "expected", expected, "known", known, "last_event", t.stream.lastID)
+	t.log("drain_refused", "left", s.End.Sub(now), "estimates", s.EstimateUntil.Sub(t.start), "needed", t.deadline.Sub(now), "expected", expected, "known", known, "last_event", t.stream.lastID)
 	switch {
 	case t.errorResponse != nil && !t.inbound.HeaderWritten():
 		t.forwardResponse(t.errorResponse)
--- a/gate/request/relay/drain_test.go
+++ b/gate/request/relay/drain_test.go
@@ -10,15 +10,24 @@
 	. "github.com/onsi/gomega"
 
 	"parsleyroute.example/fakes/process/worker"
+	"parsleyroute.example/gate/process/policy"
+	"parsleyroute.example/gate/request/relay"
 )
 
+// drain begins a shutdown that ends after the given time and accepts requests by their
+// estimated durations until then.
+func drain(r *relay.Relay, d time.Duration) {
+	end := time.Now().Add(d)
+	r.Drain(policy.Shutdown{EstimateUntil: end, End: end})
+}
+
 // Guards against requests that a shutdown cuts off without a final response.
 func TestShutdownAnswersAllRequests(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
 	s := startLimitSystem(t, "")
 	s.workers[0].SetScript(func(c *worker.Conn, req *worker.ReceivedRequest) { c.AwaitDisconnect(req, 3*time.Second) })
-	time.AfterFunc(100*time.Millisecond, func() { s.relay.Drain(time.Now().Add(400 * time.Millisecond)) })
+	time.AfterFunc(100*time.Millisecond, func() { drain(s.relay, 400*time.Millisecond) })
 	responses := s.send(t, 20, 400*time.Millisecond)
 	sent := len(s.workers[0].Requests())
 	g.Expect(responses).To(HaveLen(8))
@@ -53,7 +62,7 @@
 	g := NewWithT(t)
 	s := startCrashSystem(t, 1)
 	s.setScript(streamFor(3400 * time.Millisecond))
-	s.relay.Drain(time.Now().Add(3 * time.Second))
+	drain(s.relay, 3*time.Second)
 	start := time.Now()
 	g.Expect(s.send("f:40,1:500")).To(Equal(http.StatusServiceUnavailable), "nothing is known of the streams")
 	g.Expect(time.Since(start)).To(BeNumerically("<", 500*time.Millisecond))
@@ -63,7 +72,7 @@
 	for range 24 {
 		g.Expect(s.send("f:40,1:500")).To(Equal(http.StatusOK))
 	}
-	s.relay.Drain(time.Now().Add(time.Second))
+	drain(s.relay, time.Second)
 	g.Expect(s.send("f:40,1:500")).To(Equal(http.StatusOK), "streams of 40 ms")
 	time.Sleep(800 * time.Millisecond)
 	g.Expect(s.send("f:40,1:500")).To(Equal(http.StatusServiceUnavailable), "shortly before the end")
@@ -82,7 +91,7 @@
 	}
 	time.Sleep(30 * time.Millisecond)
 	s.setScript(streamFor(1500 * time.Millisecond))
-	time.AfterFunc(20*time.Millisecond, func() { s.relay.Drain(time.Now().Add(time.Second)) })
+	time.AfterFunc(20*time.Millisecond, func() { drain(s.relay, time.Second) })
 	g.Expect(s.send("f:40,1:500")).To(Equal(http.StatusServiceUnavailable), "a request that waits")
 	wg.Wait()
 
@@ -95,7 +104,7 @@
 		c.Reset()
 	})
 	before := s.received()
-	time.AfterFunc(50*time.Millisecond, func() { s.relay.Drain(time.Now().Add(200 * time.Millisecond)) })
+	time.AfterFunc(50*time.Millisecond, func() { drain(s.relay, 200*time.Millisecond) })
 	g.Expect(s.send("f:40,1:500")).To(Equal(http.StatusBadGateway), "a request that is lost")
 	g.Expect(s.received() - before).To(Equal(1))
 }
@@ -112,7 +121,7 @@
 		time.Sleep(100 * time.Millisecond)
 		c.Reset()
 	})
-	time.AfterFunc(50*time.Millisecond, func() { s.relay.Drain(time.Now().Add(2 * time.Second)) })
+	time.AfterFunc(50*time.Millisecond, func() { drain(s.relay, 2*time.Second) })
 	start := time.Now()
 	body, err := s.read("/stream/", "f:40,1:500")
 	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF), "a chunked response without its last chunk")
@@ -131,7 +140,27 @@
 		time.Sleep(100 * time.Millisecond)
 		c.WriteResponse(req, http.StatusInternalServerError, "failed")
 	})
-	time.AfterFunc(50*time.Millisecond, func() { s.relay.Drain(time.Now().Add(200 * time.Millisecond)) })
+	time.AfterFunc(50*time.Millisecond, func() { drain(s.relay, 200*time.Millisecond) })
 	g.Expect(s.sendTo("/safe/", "f:40,1:500")).To(Equal(http.StatusInternalServerError))
 	g.Expect(s.received()).To(Equal(1))
 }
+
+// Guards against a stream that is received late in a shutdown, although the caller could
+// still go elsewhere, and cut off because it takes longer than any before.
+func TestShutdownRefusesLateStreams(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := startCrashSystem(t, 1)
+	s.setScript(streamFor(40 * time.Millisecond))
+	for range 24 {
+		g.Expect(s.send("f:40,1:500")).To(Equal(http.StatusOK))
+	}
+	now := time.Now()
+	s.relay.Drain(policy.Shutdown{EstimateUntil: now.Add(200 * time.Millisecond), End: now.Add(1200 * time.Millisecond)})
+	g.Expect(s.send("f:40,1:500")).To(Equal(http.StatusOK), "early in the shutdown")
+	time.Sleep(250 * time.Millisecond)
+	s.setScript(streamFor(time.Second))
+	before := s.received()
+	g.Expect(s.send("f:40,1:500")).To(Equal(http.StatusServiceUnavailable), "late in the shutdown")
+	g.Expect(s.received()).To(Equal(before))
+}
--- a/gate/request/relay/relay.go
+++ b/gate/request/relay/relay.go
@@ -51,8 +51,8 @@
 	// seen).
 	LongOutage time.Duration
 
-	// drainUntil is the end of the gate's shutdown, nil while it does not shut down.
-	drainUntil   atomic.Pointer[time.Time]
+	// draining is the gate's shutdown, nil before it.
+	draining     atomic.Pointer[policy.Shutdown]
 	shutdownOnce sync.Once
 	shutdown     context.Context
 	giveUp       context.CancelFunc
--- a/gate/request/relay/standby.go
+++ b/gate/request/relay/standby.go
@@ -71,7 +71,7 @@
 	if t.trial || t.sends+int(t.standbySends.Load()) >= t.route.MaxAttempts || !t.poolState.budget.TakeRetry(now, t.relay.Picker.Fleet.GateCount()) {
 		return nil
 	}
-	if until := t.relay.drainUntil.Load(); until != nil && t.deadline.After(*until) && !t.poolState.durations.EndsInTime(now, *until) {
+	if !t.sendsWhileDraining(now) {
 		t.poolState.budget.ReturnRetry()
 		return nil
 	}
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -19,6 +19,7 @@
 	"parsleyroute.example/gate/process/crash"
 	"parsleyroute.example/gate/process/fleet"
 	"parsleyroute.example/gate/process/gossip"
+	"parsleyroute.example/gate/process/policy"
 	"parsleyroute.example/gate/process/ranks"
 	"parsleyroute.example/gate/process/view"
 	"parsleyroute.example/gate/request/relay"
@@ -31,6 +32,10 @@
 	// connections: the platform's load balancer checks readiness every second
 	// and removes a gate after two failed checks.
 	drainNoticeTime = 3200 * time.Millisecond
+	// drainEstimateTime is how long such a gate accepts requests that probably end in time.
+	// Operators excuse a response that is cut off at the end of the grace only if its
+	// request was sent within 3 s of the signal, which may be handled late.
+	drainEstimateTime = 2700 * time.Millisecond
 	// graceMargin is the part of the grace time that is left after the wait for
 	// requests in flight.
 	graceMargin = 500 * time.Millisecond
@@ -182,9 +187,10 @@
 func (g *Gate) drain() error {
 	g.draining.Store(true)
 	g.callers.Drain()
+	now := time.Now()
 	grace := g.Settings.Grace.Duration - graceMargin
 	g.DecisionLog.Log("draining", "active", g.callers.Active(), "grace", grace)
-	g.relay.Drain(time.Now().Add(grace - answerMargin))
+	g.relay.Drain(policy.Shutdown{EstimateUntil: now.Add(drainEstimateTime), End: now.Add(grace - answerMargin)})
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	select {
