--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -36,12 +36,23 @@
 	// Operators excuse a response that is cut off at the end of the grace only if its
 	// request was sent within 3 s of the signal, which may be handled late.
 	drainEstimateTime = 2700 * time.Millisecond
-	// graceMargin is the part of the grace time that is left after the wait for
-	// requests in flight.
-	graceMargin = 500 * time.Millisecond
-	// answerMargin is the part before it in which requests that have not ended get their
-	// final response.
-	answerMargin = 250 * time.Millisecond
+	// maxGraceMargin limits the part of the grace time that is left after the wait for
+	// requests in flight, and maxAnswerMargin the part before it in which requests that
+	// have not ended get their final response. Together they are at most an eighth of
+	// the grace, since a response that is cut off before its last sixth is not excused.
+	maxGraceMargin     = 500 * time.Millisecond
+	graceMarginDivisor = 12
+	maxAnswerMargin    = 250 * time.Millisecond
+)
+
+// drainTimes returns how long a gate that shuts down waits for requests in flight, and how
+// long it lets them continue.
+func drainTimes(grace time.Duration) (wait, answer time.Duration) {
+	margin := min(maxGraceMargin, grace/graceMarginDivisor)
+	return grace - margin, grace - margin - min(maxAnswerMargin, margin/2)
+}
+
+const (
 	// maxContenders is the number of gates that contend for the leader's lease.
 	// Each of them calls the store about once a second.
 	maxContenders = 2
@@ -188,9 +199,9 @@
 	g.draining.Store(true)
 	g.callers.Drain()
 	now := time.Now()
-	grace := g.Settings.Grace.Duration - graceMargin
+	grace, answer := drainTimes(g.Settings.Grace.Duration)
 	g.DecisionLog.Log("draining", "active", g.callers.Active(), "grace", grace)
-	g.relay.Drain(policy.Shutdown{EstimateUntil: now.Add(drainEstimateTime), End: now.Add(grace - answerMargin)})
+	g.relay.Drain(policy.Shutdown{EstimateUntil: now.Add(drainEstimateTime), End: now.Add(answer)})
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	select {
