Read the status of responses by the grammar

Cause: fasthttp keeps 000 as zero, which it reads back as 200, and takes 099 or 999 as they are; net/http takes 000 too. The status is read in six places, by two parsers.

Interim responses are checked too. Such bytes are a lost response: 502, or a retry if the request may be repeated.

--- a/agent/serve/ranks.go
+++ b/agent/serve/ranks.go
@@ -14,6 +14,7 @@
 	"github.com/twitchtv/twirp"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/rest"
 	"parsleyroute.example/core/version/commit"
 )
 
@@ -106,7 +107,7 @@
 	s := &commit.Server{Group: m.group, Rank: rank}
 	stop = rank.Close
 	if m.ownRank == 0 {
-		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}
+		client := &http.Client{Transport: &rest.LimitedTransport{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}}
 		poll := max(minPollInterval, time.Duration(len(m.agents))*pollIntervalPerRank)
 		coordinator := &commit.Coordinator{Clock: r.clock, Ranks: []commit.RankAgent{rank}, PollInterval: poll}
 		for _, addr := range m.agents[1:] {
--- a/core/conn/dial/dial.go
+++ b/core/conn/dial/dial.go
@@ -52,17 +52,15 @@
 	return c.(*net.TCPConn), nil
 }
 
-// Func opens a connection to the address addr. It has the signature of
-// fasthttp.DialFunc.
-func Func(addr string) (net.Conn, error) {
-	return dialer.Dial("tcp", addr)
+// Func opens a connection to the address addr.
+func Func(ctx context.Context, addr string) (net.Conn, error) {
+	return dialer.DialContext(ctx, "tcp", addr)
 }
 
 // Monitored opens a connection to the address addr that ends if nothing is received
-// from the peer for SilenceTimeout, not even the acknowledgement of a probe. It has
-// the signature of fasthttp.DialFunc.
-func Monitored(addr string) (net.Conn, error) {
-	return monitored.Dial("tcp", addr)
+// from the peer for SilenceTimeout, not even the acknowledgement of a probe.
+func Monitored(ctx context.Context, addr string) (net.Conn, error) {
+	return monitored.DialContext(ctx, "tcp", addr)
 }
 
 // userTimeout returns a function for net.Dialer.Control that limits how long sent
--- a/core/conn/links/link.go
+++ b/core/conn/links/link.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/strict"
 	"parsleyroute.example/core/process/spread"
 	"parsleyroute.example/core/request/codec"
 	"parsleyroute.example/core/request/frame"
@@ -115,7 +116,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return silenceConn{conn}, nil
+	return strict.NewConn(silenceConn{conn}), nil
 }
 
 // Inflight returns the number of the entry's requests in flight at the agent.
--- a/core/conn/rest/transport.go
+++ b/core/conn/rest/transport.go
@@ -5,10 +5,14 @@
 	"net/http"
 
 	"github.com/gravitational/trace"
+
+	"parsleyroute.example/core/conn/strict"
 )
 
 // LimitedTransport is an http.RoundTripper that bounds the size of response bodies,
-// for clients that read them whole. A faulty peer may send a body without end.
+// for clients that read them whole. A faulty peer may send a body without end. It refuses
+// responses that package net/http returns although they are none: with a status out of
+// range, or with blanks in a field name.
 type LimitedTransport struct {
 	// Transport makes the calls. It is required.
 	Transport http.RoundTripper
@@ -23,6 +27,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := strict.CheckResponse(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
 	limit := t.MaxBody
 	if limit == 0 {
 		limit = maxResponseBody
@@ -31,6 +39,13 @@
 	return resp, nil
 }
 
+// CloseIdleConnections closes the unused connections, for http.Client.
+func (t *LimitedTransport) CloseIdleConnections() {
+	if c, ok := t.Transport.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 type limitedBody struct {
 	io.ReadCloser
 	remaining int64
--- a/core/process/engine/clientconn.go
+++ b/core/process/engine/clientconn.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"parsleyroute.example/core/conn/probe"
+	"parsleyroute.example/core/conn/strict"
 )
 
 // dialTimeout limits the dialing of an upstream, which is on the same machine.
@@ -58,7 +59,7 @@
 		return nil, net.ErrClosed
 	}
 	cc.conn, cc.hadConn = newLingeringConn(c.(*net.TCPConn)), true
-	return cc.conn, nil
+	return strict.NewConn(cc.conn), nil
 }
 
 // interrupt ends the call in flight. The clientConn cannot be used afterwards.
--- a/core/process/spread/client.go
+++ b/core/process/spread/client.go
@@ -1,12 +1,12 @@
 package spread
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"parsleyroute.example/core/conn/rest"
 	"parsleyroute.example/core/wire"
 )
 
@@ -28,7 +28,7 @@
 		Timeout: timeout,
 		// Peers never redirect, and the key must not be sent to other hosts.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{
+		Transport: &rest.LimitedTransport{MaxBody: maxBodyBytes, Transport: &http.Transport{
 			DialContext:           dialer.DialContext,
 			MaxConnsPerHost:       4,
 			MaxIdleConnsPerHost:   1,
@@ -36,7 +36,7 @@
 			IdleConnTimeout:       30 * time.Second,
 			ResponseHeaderTimeout: timeout,
 			DisableCompression:    true,
-		},
+		}},
 	}}
 }
 
@@ -55,7 +55,7 @@
 		return nil, err
 	}
 	countReceived(headerSize(resp.Header))
-	resp.Body = &countingBody{ReadCloser: resp.Body, r: io.LimitReader(resp.Body, maxBodyBytes)}
+	resp.Body = &countingBody{ReadCloser: resp.Body, r: resp.Body}
 	return resp, nil
 }
 
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -15,6 +15,7 @@
 	"github.com/samber/lo"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/rest"
 	"parsleyroute.example/core/process/lease"
 	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/core/request/claim"
@@ -65,7 +66,7 @@
 func (l *Leader) init() {
 	l.once.Do(func() {
 		l.assignments = make(chan map[string]rankGroup, 1)
-		l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}
+		l.client = &http.Client{Transport: &rest.LimitedTransport{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}}
 	})
 }
 
--- a/gate/conn/outlet/conn.go
+++ b/gate/conn/outlet/conn.go
@@ -2,17 +2,16 @@
 
 import (
 	"bufio"
-	"bytes"
-	"errors"
 	"io"
 	"net"
-	"net/http/httputil"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
+
+	"parsleyroute.example/core/conn/strict"
 )
 
 // maxInlineBody is the size in bytes up to which a body is written before the
@@ -76,14 +75,14 @@
 // Sent reports whether any byte of the last request was sent.
 func (c *Conn) Sent() bool { return c.sentBytes.Load() > 0 }
 
-// ReadHeader reads the header of a response and skips those of status 1xx. It fails
-// with trace.LimitExceeded if there are more than maxInterimResponses of them, and
-// with an error of fasthttp if a header exceeds headerBuffer.
+// ReadHeader reads the header of a response and skips those of status 1xx. Its errors are
+// those of package strict. It also fails with trace.LimitExceeded if there are more than
+// maxInterimResponses of status 1xx.
 func (c *Conn) ReadHeader(h *fasthttp.ResponseHeader) error {
 	for range maxInterimResponses + 1 {
 		h.Reset()
 		h.SetNoDefaultContentType(true)
-		if err := h.Read(c.br); err != nil {
+		if err := strict.ReadResponseHeader(c.br, h); err != nil {
 			return err
 		}
 		if h.StatusCode() >= 200 {
@@ -96,17 +95,7 @@
 // Body returns the body of the response with header h to a request with the
 // given method.
 func (c *Conn) Body(h *fasthttp.ResponseHeader, method []byte) io.Reader {
-	switch n := h.ContentLength(); {
-	case bytes.Equal(method, []byte(fasthttp.MethodHead)), h.StatusCode() == fasthttp.StatusNoContent, h.StatusCode() == fasthttp.StatusNotModified:
-		return bytes.NewReader(nil)
-	case n >= 0:
-		return &lengthReader{r: c.br, remaining: n}
-	case n == -1:
-		return &chunkedReader{r: httputil.NewChunkedReader(c.br), br: c.br}
-	}
-	// The body ends when the upstream closes the connection. A reset is an
-	// error.
-	return c.br
+	return strict.NewBody(c.br, h, method)
 }
 
 // Reusable reports whether the connection stays open after a response with
@@ -146,65 +135,3 @@
 	c.idleUntil = c.idleSince.Add(idle)
 	c.pool.putIdle(c)
 }
-
-// lengthReader reads a body of known length.
-type lengthReader struct {
-	r         io.Reader
-	remaining int
-}
-
-// Read implements io.Reader.
-func (l *lengthReader) Read(p []byte) (int, error) {
-	if l.remaining == 0 {
-		return 0, io.EOF
-	}
-	n, err := l.r.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	if errors.Is(err, io.EOF) {
-		if l.remaining > 0 {
-			return n, io.ErrUnexpectedEOF
-		}
-		err = nil
-	}
-	return n, err
-}
-
-// chunkedReader reads a chunked body and skips its trailer.
-type chunkedReader struct {
-	r   io.Reader
-	br  *bufio.Reader
-	err error
-}
-
-// maxTrailerLines limits the lines after the last chunk.
-const maxTrailerLines = 32
-
-// Read implements io.Reader.
-func (c *chunkedReader) Read(p []byte) (int, error) {
-	if c.err != nil {
-		return 0, c.err
-	}
-	n, err := c.r.Read(p)
-	if errors.Is(err, io.EOF) {
-		err = c.skipTrailer()
-		c.err = err
-	}
-	return n, err
-}
-
-// skipTrailer reads up to the blank line that ends the message and returns
-// io.EOF.
-func (c *chunkedReader) skipTrailer() error {
-	for range maxTrailerLines {
-		line, err := c.br.ReadSlice('\n')
-		switch {
-		case errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
-		case err != nil:
-			return err
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			return io.EOF
-		}
-	}
-	return trace.LimitExceeded("the response has more than %d trailer lines", maxTrailerLines)
-}
--- a/gate/serve/client.go
+++ b/gate/serve/client.go
@@ -13,7 +13,7 @@
 // peerClient is the HTTP client for calls to other gates and to the sidecars of
 // ranks.
 var peerClient = &http.Client{Transport: &rest.LimitedTransport{Transport: &http.Transport{
-	DialContext:            func(_ context.Context, _, addr string) (net.Conn, error) { return dial.Monitored(addr) },
+	DialContext:            func(ctx context.Context, _, addr string) (net.Conn, error) { return dial.Monitored(ctx, addr) },
 	MaxIdleConnsPerHost:    1,
 	IdleConnTimeout:        10 * time.Second,
 	MaxResponseHeaderBytes: maxPeerHeader,
--- a/gate/serve/drain_test.go
+++ b/gate/serve/drain_test.go
@@ -15,6 +15,6 @@
 		wait, answer := drainTimes(grace)
 		g.Expect(answer).To(BeNumerically(">=", grace*5/6), "grace %s", grace)
 		g.Expect(wait).To(BeNumerically(">", answer))
-		g.Expect(grace-wait).To(BeNumerically(">=", min(maxGraceMargin, grace/20)))
+		g.Expect(grace - wait).To(BeNumerically(">=", min(maxGraceMargin, grace/20)))
 	}
 }
--- a/parsley/client/client.go
+++ b/parsley/client/client.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"parsleyroute.example/core"
+	"parsleyroute.example/core/conn/strict"
 	"parsleyroute.example/core/process/admin"
 )
 
@@ -249,6 +250,13 @@
 	}
 	c.initOnce.Do(func() {
 		c.httpClient.MaxResponseBodySize = maxResponseSize
+		c.httpClient.Dial = func(addr string) (net.Conn, error) {
+			conn, err := fasthttp.Dial(addr)
+			if err != nil {
+				return nil, err
+			}
+			return strict.NewConn(conn), nil
+		}
 		// Retries by the library would hide that a response was lost.
 		c.httpClient.MaxIdemponentCallAttempts = 1
 	})
