Take a body without length as complete only if the request was written

Cause: the end of such a body is the end of its connection, and only the socket's error tells a reset from a proper end. A socket reports its error once, to whichever of the goroutine that writes the request and the one that reads the response asks first. If the write gets it, the read sees a proper end. The same holds for a write of a small request that fails halfway, and for a connection that the kernel gives up.

The end of a body without length now counts only once the whole request has been written without an error; otherwise the response is lost. Looked for elsewhere: requests have lengths; the agent takes no response without one; the client of the store has written the whole request before it reads; idle connections are only probed when no response is read.

--- a/fakes/process/worker/worker.go
+++ b/fakes/process/worker/worker.go
@@ -38,6 +38,9 @@
 	ID string
 	// Script responds to requests; SetScript changes it.
 	Script Script
+	// Early, if set, responds to a request instead of Script once its header has been read,
+	// before its body. The connection is closed afterwards.
+	Early Script
 
 	ln    net.Listener
 	mu    sync.Mutex
@@ -175,6 +178,10 @@
 		if err != nil {
 			return
 		}
+		if w.Early != nil {
+			w.Early(c, &ReceivedRequest{Request: r, AttemptID: r.Header.Get(HeaderAttemptID), ReceivedAt: time.Now()})
+			return
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
--- a/fakes/soak/garbled_test.go
+++ b/fakes/soak/garbled_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"parsleyroute.example/fakes/process/site"
 	"parsleyroute.example/fakes/process/worker"
 )
 
@@ -62,3 +64,68 @@
 		"HTTP/1.1 000 OK\r\n" + garbledFields + "\r\nid: 1\ndata: e1\n\n",
 	})
 }
+
+// Guards against a part of a body that looks like the whole one: a worker answers a long
+// upload at once, without a length, and resets the connection while the upload is written.
+func TestResetWhileUploading(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, rand.New(rand.NewPCG(9, 7)))
+	defer s.copyLogs(t, 0)
+	s.waitServing(t, recoveryTimeout)
+	var answered atomic.Int64
+	early := func(c *worker.Conn, req *worker.ReceivedRequest) {
+		answered.Add(1)
+		c.Printf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig\r\n\r\n%s", worker.HeaderAttemptID, req.AttemptID, worker.HeaderSignature, strings.Repeat("part ", 200))
+		time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond)
+		// The rest of the body is not read, so that the connection is reset.
+		_ = c.Close()
+	}
+	// Workers that lose responses get no requests for some time, so there are many.
+	for i := range 12 {
+		w := &worker.Worker{ID: fmt.Sprintf("i-early-%d", i), Early: early}
+		if err := w.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(w.Close)
+		s.store.Put("servers", w.ID, site.WorkerEntry("early", w.Addr(), "ready", 64, 1))
+	}
+	s.mu.Lock()
+	s.version += 2
+	version := s.version
+	s.mu.Unlock()
+	config := site.Config(version, []site.Route{
+		{Name: "upload", Host: "h", Prefix: "/u/safe/", Kind: "safe", Pool: "early", Timeout: 3 * time.Second, GapLimit: 200 * time.Millisecond},
+	})
+	config["backends"] = append(config["backends"].([]map[string]any), map[string]any{"name": "early"})
+	s.store.Put("config", "main", config)
+	time.Sleep(500 * time.Millisecond)
+	body := strings.Repeat("x", 900<<10)
+	deadline := time.Now().Add(25 * time.Second)
+	for try := 0; answered.Load() < 150 && time.Now().Before(deadline); try++ {
+		var wg sync.WaitGroup
+		for i, g := range s.gates {
+			wg.Go(func() {
+				req, err := http.NewRequest(http.MethodPost, "http://"+g.callers.String()+"/u/safe/x", strings.NewReader(body))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				req.Host = "h"
+				req.Header.Set(worker.HeaderAttemptID, fmt.Sprintf("u-%d-%d", try, i))
+				req.Header.Set(worker.HeaderDeadlineMs, "3000")
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					return
+				}
+				defer func() { _ = resp.Body.Close() }()
+				if got, err := io.ReadAll(resp.Body); err == nil && resp.StatusCode == http.StatusOK {
+					t.Errorf("a response that was reset came as complete with %d bytes", len(got))
+				}
+			})
+		}
+		wg.Wait()
+	}
+	if answered.Load() < 50 {
+		t.Errorf("the worker got only %d requests", answered.Load())
+	}
+}
--- a/gate/conn/outlet/conn.go
+++ b/gate/conn/outlet/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -34,6 +35,8 @@
 	// bodyWrite receives the result of a concurrent write of the body; nil if
 	// there is none.
 	bodyWrite chan error
+	// sendErr is the error of the last write of a request.
+	sendErr error
 	// sentBytes counts the bytes of the request that the kernel has accepted,
 	// without those of a body that is written concurrently.
 	sentBytes atomic.Int64
@@ -54,15 +57,15 @@
 // of it, unless Sent returns false.
 func (c *Conn) Send(header, body []byte) error {
 	c.sentBytes.Store(0)
-	if len(body) <= maxInlineBody {
-		n, err := c.tcp.Write(append(header, body...))
-		c.sentBytes.Add(int64(n))
-		return err
+	large := len(body) > maxInlineBody
+	if !large {
+		header = append(header, body...)
 	}
-	n, err := c.tcp.Write(header)
+	var n int
+	n, c.sendErr = c.tcp.Write(header)
 	c.sentBytes.Add(int64(n))
-	if err != nil {
-		return err
+	if c.sendErr != nil || !large {
+		return c.sendErr
 	}
 	c.bodyWrite = make(chan error, 1)
 	go func(done chan<- error) {
@@ -95,7 +98,40 @@
 // Body returns the body of the response with header h to a request with the
 // given method.
 func (c *Conn) Body(h *fasthttp.ResponseHeader, method []byte) io.Reader {
-	return strict.NewBody(c.br, h, method)
+	body := strict.NewBody(c.br, h, method)
+	if strict.HasLength(h, method) {
+		return body
+	}
+	return &closeReader{conn: c, r: body}
+}
+
+// closeReader reads a body that ends with its connection.
+type closeReader struct {
+	conn *Conn
+	r    io.Reader
+}
+
+// Read implements io.Reader. A socket reports its error only once: if the upstream resets
+// the connection while the request is being written, the write may get the error, and a
+// read the end of the stream. The end is therefore the end of the body only if the whole
+// request was written without an error.
+func (r *closeReader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if errors.Is(err, io.EOF) {
+		if sendErr := r.conn.awaitSend(); sendErr != nil {
+			return n, trace.ConnectionProblem(sendErr, "the connection was lost while the request was sent")
+		}
+	}
+	return n, err
+}
+
+// awaitSend waits until the request has been written and returns the error of the write.
+// The deadline of the connection bounds the wait.
+func (c *Conn) awaitSend() error {
+	if c.bodyWrite != nil {
+		c.sendErr, c.bodyWrite = <-c.bodyWrite, nil
+	}
+	return c.sendErr
 }
 
 // Reusable reports whether the connection stays open after a response with
@@ -110,9 +146,9 @@
 func (c *Conn) Release(reusable bool, keepAlive time.Duration) {
 	if c.bodyWrite != nil {
 		select {
-		case err := <-c.bodyWrite:
+		case c.sendErr = <-c.bodyWrite:
 			c.bodyWrite = nil
-			reusable = reusable && err == nil
+			reusable = reusable && c.sendErr == nil
 		default:
 			// The upstream still expects the rest of the body.
 			reusable = false
