Read field lines, chunks and trailers by the grammar

Chunked bodies ended as complete in a trailer that is none, and a response with both a length and chunks was taken as chunked.

Cause: fasthttp and net/http accept blanks in field names, and fasthttp uses the framing of such fields.

Package strict now checks each field line: the name is a token, the value has no control bytes, the framing is one length of digits or chunked, once. Chunks and trailers are read by the grammar as well. The same code reads callers' requests, in place of checkFraming, which let control bytes in names and chunks with bare line feeds pass. net/http's result is checked for field names.

--- a/core/conn/links/garbled_test.go
+++ b/core/conn/links/garbled_test.go
@@ -14,10 +14,10 @@
 )
 
 // Guards against an entry that takes bytes of an agent for the beginning of an answer,
-// although they have a status out of range.
+// although they have a status out of range or an invalid field name.
 func TestGarbledResponse(t *testing.T) {
 	for _, header := range []string{
-		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 000 \r\n",
+		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 000 \r\n", "HTTP/1.1 200 OK\r\nX Trace: 1\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n",
 	} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/core/conn/rest/garbled_test.go
+++ b/core/conn/rest/garbled_test.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// Guards against a response in whose header a field name has blanks or control bytes.
+func TestFieldNames(t *testing.T) {
+	for _, line := range []string{"X Trace: 1", "X : 1", "X\x01Y: 1", "Content-Length : 1"} {
+		expectNoResponse(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 2\r\n\r\n{}")
+	}
+}
+
 // Guards against bytes after a response that are taken for the response to the next call.
 func TestSecondResponse(t *testing.T) {
 	g := NewWithT(t)
--- a/core/conn/strict/chunk.go
+++ b/core/conn/strict/chunk.go
@@ -98,6 +98,9 @@
 		case len(line) == 0:
 			return io.EOF
 		}
+		if err := CheckTrailer(line); err != nil {
+			return err
+		}
 	}
 	return trace.LimitExceeded("the message has more than %d trailer lines", maxTrailerLines)
 }
--- a/core/conn/strict/conn.go
+++ b/core/conn/strict/conn.go
@@ -40,7 +40,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	if len(c.header) == 0 && !c.inBody {
-		n, err := awaitHeader(c.br)
+		n, err := awaitHeader(c.br, responseKind)
 		if err != nil {
 			return 0, err
 		}
--- a/core/conn/strict/header.go
+++ b/core/conn/strict/header.go
@@ -15,22 +15,38 @@
 	// minStatus and maxStatus limit the status of a response (RFC 9110, section 15).
 	minStatus = 100
 	maxStatus = 599
+	// maxLengthDigits limits a Content-Length to numbers that an int64 holds.
+	maxLengthDigits = 18
 )
 
 // ReadResponseHeader reads the header of one response, which may be an interim one. The
 // header must fit into the buffer of br.
 func ReadResponseHeader(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
-	if _, err := awaitHeader(br); err != nil {
+	if _, err := awaitHeader(br, responseKind); err != nil {
 		return err
 	}
 	return convertError(h.Read(br))
 }
 
-// CheckResponse checks the status of a response that package net/http has read.
+// ReadRequestHeader reads the header of one request, which must fit into the buffer of br.
+func ReadRequestHeader(br *bufio.Reader, h *fasthttp.RequestHeader) error {
+	if _, err := awaitHeader(br, requestKind); err != nil {
+		return err
+	}
+	return convertError(h.Read(br))
+}
+
+// CheckResponse checks what package net/http does not of a response that it has read: the
+// status and the names of the fields.
 func CheckResponse(resp *http.Response) error {
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return trace.BadParameter("the response has the status %03d, which is out of range", resp.StatusCode)
 	}
+	for name := range resp.Header {
+		if !isToken([]byte(name)) {
+			return trace.BadParameter("the response has the invalid field name %q", name)
+		}
+	}
 	return nil
 }
 
@@ -42,10 +58,18 @@
 	return trace.BadParameter("the header cannot be read: %s", err)
 }
 
+// kind is the kind of a message.
+type kind int
+
+const (
+	responseKind kind = iota
+	requestKind
+)
+
 // awaitHeader reads into the buffer of br until it holds a complete header, checks it and
 // returns its length. A line that is invalid is reported before the header is complete.
-func awaitHeader(br *bufio.Reader) (int, error) {
-	var c checker
+func awaitHeader(br *bufio.Reader, k kind) (int, error) {
+	c := checker{kind: k}
 	checked := 0
 	for {
 		buffered, _ := br.Peek(br.Buffered())
@@ -76,8 +100,11 @@
 
 // checker checks the lines of one header.
 type checker struct {
+	kind    kind
 	started bool
+	http10  bool
 	status  int
+	framing framing
 }
 
 // line checks one line with its line end, and reports whether it ends the header.
@@ -88,9 +115,14 @@
 		return false, err
 	case !c.started:
 		c.started = true
+		if c.kind == requestKind {
+			return false, c.requestLine(line)
+		}
 		return false, c.statusLine(line)
+	case len(line) > 0:
+		return false, c.framing.field(line)
 	}
-	return len(line) == 0, nil
+	return true, c.framing.check(c)
 }
 
 // trimLineEnd returns a line without its line end, which must be CRLF.
@@ -133,5 +165,27 @@
 	if !ok || len(rest) == 0 || rest[0] != '0' && rest[0] != '1' {
 		return nil, trace.BadParameter("the message is not HTTP/1.0 or HTTP/1.1")
 	}
+	c.http10 = rest[0] == '0'
 	return rest[1:], nil
 }
+
+// requestLine checks a line of the form method SP request-target SP HTTP-version. Bytes
+// above 127 are allowed in the target, since callers send them.
+func (c *checker) requestLine(line []byte) error {
+	method, rest, ok := bytes.Cut(line, []byte(" "))
+	if !ok || !isToken(method) {
+		return trace.BadParameter("the request line has no valid method")
+	}
+	target, version, ok := bytes.Cut(rest, []byte(" "))
+	if !ok || len(target) == 0 || !isText(target) || bytes.IndexByte(target, '\t') >= 0 {
+		return trace.BadParameter("the request line has no valid target")
+	}
+	rest, err := c.version(version)
+	if err != nil {
+		return err
+	}
+	if len(rest) > 0 {
+		return trace.BadParameter("the request line has bytes after the version")
+	}
+	return nil
+}
--- a/core/process/engine/garbled_test.go
+++ b/core/process/engine/garbled_test.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// Guards against an agent that passes on an answer in whose header a field name has blanks
+// or control bytes.
+func TestFieldNames(t *testing.T) {
+	for _, line := range []string{"X Trace: 1", "X : 1", "X\x01Y: 1", "Content-Length : 1"} {
+		expectNoReply(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 4\r\n\r\nbody")
+	}
+}
+
 // Guards against the refusal of answers that are valid.
 func TestValidResponses(t *testing.T) {
 	g := NewWithT(t)
--- a/fakes/soak/garbled_test.go
+++ b/fakes/soak/garbled_test.go
@@ -65,6 +65,17 @@
 	})
 }
 
+// Guards against a caller who gets bytes as an answer in whose header a field name has
+// blanks or control bytes.
+func TestGarbledFields(t *testing.T) {
+	sendGarbled(t, []string{
+		"HTTP/1.1 200 OK\r\n" + garbledFields + "X Trace: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\n" + garbledFields + "Content-Length : 4\r\n\r\nid: 1\ndata: e1\n\n",
+		"HTTP/1.1 200 OK\r\n" + garbledFields + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + garbledFields + "X\x01: 1\r\nContent-Length: 4\r\n\r\nbody",
+	})
+}
+
 // Guards against a part of a body that looks like the whole one: a worker answers a long
 // upload at once, without a length, and resets the connection while the upload is written.
 func TestResetWhileUploading(t *testing.T) {
--- a/gate/conn/inlet/conn.go
+++ b/gate/conn/inlet/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -9,10 +10,12 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/conn/probe"
+	"parsleyroute.example/core/conn/strict"
 )
 
 const (
@@ -110,19 +113,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Exchange{Header: &req.Header, conn: c, ctx: ctx, cancel: cancel}
 	defer cancel()
-	if err := req.Header.Read(c.br); err != nil {
+	if err := strict.ReadRequestHeader(c.br, &req.Header); err != nil {
 		return c.rejectHeader(x, err)
 	}
-	if err := checkFraming(req.Header.RawHeaders()); err != nil {
-		return c.reject(x, fasthttp.StatusBadRequest, core.ReasonBadRequest)
-	}
-	if req.Header.ContentLength() > l.BodyBytes {
-		return c.reject(x, fasthttp.StatusRequestEntityTooLarge, core.ReasonTooLarge)
-	}
-	if err := c.readBody(req, l); err != nil {
+	var err error
+	if x.Body, err = c.readBody(req, l); err != nil {
 		return c.rejectBody(x, err)
 	}
-	x.Body, x.Received = req.Body(), time.Now()
+	x.Received = time.Now()
 	c.handle(x, func() { c.server.Handler.Serve(x) })
 	x.stopWatch()
 	return c.finishResponse(x)
@@ -139,18 +137,36 @@
 	f()
 }
 
-func (c *conn) readBody(req *fasthttp.Request, l core.CallerLimits) error {
+// errBodyTooLarge is returned for a body that exceeds the limit.
+var errBodyTooLarge = trace.LimitExceeded("the body is too large")
+
+// readBody reads the body of a request, which is nil if the request has none.
+func (c *conn) readBody(req *fasthttp.Request, l core.CallerLimits) ([]byte, error) {
+	n := req.Header.ContentLength()
+	if n > l.BodyBytes {
+		return nil, errBodyTooLarge
+	}
 	if req.MayContinue() {
 		_, _ = c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
 		if err := c.bw.Flush(); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	if n := req.Header.ContentLength(); n == 0 || n == -2 {
-		return nil
-	}
 	_ = c.tcp.SetReadDeadline(time.Now().Add(bodyTimeout))
-	return req.ContinueReadBody(c.br, l.BodyBytes, false)
+	switch {
+	case n > 0:
+		body := make([]byte, n)
+		_, err := io.ReadFull(c.br, body)
+		return body, err
+	case n == -1:
+		var b bytes.Buffer
+		_, err := b.ReadFrom(io.LimitReader(strict.NewChunkedReader(c.br), int64(l.BodyBytes)+1))
+		if err == nil && b.Len() > l.BodyBytes {
+			err = errBodyTooLarge
+		}
+		return b.Bytes(), err
+	}
+	return nil, nil
 }
 
 // finishResponse reports whether the connection may carry another request. An
@@ -169,19 +185,17 @@
 }
 
 func (c *conn) rejectHeader(x *Exchange, err error) bool {
-	var small *fasthttp.ErrSmallBuffer
-	var nothing fasthttp.ErrNothingRead
 	switch {
-	case errors.Is(err, io.EOF), errors.As(err, &nothing):
+	case errors.Is(err, io.EOF):
 		return false
-	case errors.As(err, &small):
+	case trace.IsLimitExceeded(err):
 		return c.reject(x, fasthttp.StatusRequestHeaderFieldsTooLarge, core.ReasonTooLarge)
 	}
 	return c.rejectIncomplete(x, err)
 }
 
 func (c *conn) rejectBody(x *Exchange, err error) bool {
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	if trace.IsLimitExceeded(err) {
 		return c.reject(x, fasthttp.StatusRequestEntityTooLarge, core.ReasonTooLarge)
 	}
 	return c.rejectIncomplete(x, err)
@@ -200,7 +214,7 @@
 
 func isTimeout(err error) bool {
 	var t net.Error
-	return errors.As(err, &t) && t.Timeout() || errors.Is(err, fasthttp.ErrTimeout)
+	return errors.As(err, &t) && t.Timeout()
 }
 
 // reject rejects a request that was not read completely, and closes the
