Bound what a rank's control interface may send

A sidecar that ends takes the orders and reports of its rank with it.

Cause: each call kept up to 8 MB, the limit for lists of the store, where a report has about 20 KB.

--- a/fakes/process/site/gate.go
+++ b/fakes/process/site/gate.go
@@ -18,9 +18,11 @@
 	StoreAddr netip.AddrPort
 	SeedAddrs []netip.AddrPort
 	// GracePeriod is the time in which the process must exit after SIGTERM,
-	// MaxFiles its limit of file descriptors; zero means no limit.
+	// MaxFiles its limit of file descriptors and MemoryMB that of its memory; zero
+	// means no limit.
 	GracePeriod time.Duration
 	MaxFiles    int
+	MemoryMB    int
 }
 
 // Write writes the settings file.
@@ -38,6 +40,7 @@
 store = %q
 grace = %q
 files = %d
+memory = %d
 seeds = [%s]
 [retry]
 ratio = 0.2
@@ -46,6 +49,6 @@
 [cold]
 overshoot = 1.5
 slack = 5.0
-`, g.Name, g.CallerAddr, g.ReadyAddr, g.PeerAddr, g.MetricsAddr, g.StoreAddr, g.GracePeriod, g.MaxFiles, strings.Join(seeds, ", "))
+`, g.Name, g.CallerAddr, g.ReadyAddr, g.PeerAddr, g.MetricsAddr, g.StoreAddr, g.GracePeriod, g.MaxFiles, g.MemoryMB, strings.Join(seeds, ", "))
 	return trace.ConvertSystemError(os.WriteFile(path, []byte(text), 0o600))
 }
--- a/fakes/soak/drain_test.go
+++ b/fakes/soak/drain_test.go
@@ -130,7 +130,7 @@
 // passed on and cut off at the end of the grace, since they take longer than any before.
 func TestLongStreamsLateInPlannedStop(t *testing.T) {
 	t.Parallel()
-	s := startSystemWith(t, rand.New(rand.NewPCG(5, 7)), 8*time.Second, 8*time.Second)
+	s := startSystemWith(t, rand.New(rand.NewPCG(5, 7)), systemOptions{grace: 8 * time.Second, timeout: 8 * time.Second})
 	defer s.copyLogs(t, 0)
 	s.waitServing(t, recoveryTimeout)
 	stream := func(events int, interval time.Duration) worker.Script {
--- a/fakes/soak/system_test.go
+++ b/fakes/soak/system_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -49,13 +50,21 @@
 	gates   []*gate
 	checks  *checks
 	faults  *faultLevel
-	// grace is the time in which the gates must exit, and timeout that of all routes.
-	grace, timeout time.Duration
+	systemOptions
 
 	mu      sync.Mutex
 	version int
 }
 
+// systemOptions holds what differs between the systems of tests.
+type systemOptions struct {
+	// grace is the time in which the gates must exit, and timeout that of all routes.
+	grace, timeout time.Duration
+	// memoryMB is the memory of a gate, zero if it is not limited, and slots the number
+	// of requests that a worker takes at once.
+	memoryMB, slots int
+}
+
 // proxiedWorker is a worker behind a link of the proxy.
 type proxiedWorker struct {
 	*worker.Worker
@@ -106,13 +115,14 @@
 
 func startSystem(t *testing.T, rng *rand.Rand) *system {
 	t.Helper()
-	return startSystemWith(t, rng, grace, 3*time.Second)
+	return startSystemWith(t, rng, systemOptions{})
 }
 
-// startSystemWith starts a system with another grace and another timeout of its routes.
-func startSystemWith(t *testing.T, rng *rand.Rand, grace, timeout time.Duration) *system {
+// startSystemWith starts a system with the given options, which have defaults.
+func startSystemWith(t *testing.T, rng *rand.Rand, o systemOptions) *system {
 	t.Helper()
-	s := &system{t: t, dir: t.TempDir(), store: &meta.Server{}, checks: newChecks(), faults: &faultLevel{}, grace: grace, timeout: timeout}
+	o.grace, o.timeout, o.slots = cmp.Or(o.grace, grace), cmp.Or(o.timeout, 3*time.Second), cmp.Or(o.slots, 8)
+	s := &system{t: t, dir: t.TempDir(), store: &meta.Server{}, checks: newChecks(), faults: &faultLevel{}, systemOptions: o}
 	if err := s.store.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -154,7 +164,7 @@
 func (s *system) writeSettings(g *gate, seeds []netip.AddrPort) {
 	settings := &site.GateSettings{
 		Name: g.name, CallerAddr: g.callers, ReadyAddr: g.ready, PeerAddr: g.peers, MetricsAddr: g.metrics,
-		StoreAddr: s.store.Addr(), SeedAddrs: seeds, GracePeriod: s.grace,
+		StoreAddr: s.store.Addr(), SeedAddrs: seeds, GracePeriod: s.grace, MemoryMB: s.memoryMB,
 	}
 	if err := settings.Write(g.settings); err != nil {
 		s.t.Fatal(err)
@@ -188,7 +198,7 @@
 		if !w.draining.IsZero() {
 			state = "draining"
 		}
-		entry := site.WorkerEntry(w.pool, w.addr, state, 8, w.sequence)
+		entry := site.WorkerEntry(w.pool, w.addr, state, s.slots, w.sequence)
 		entry["born"] = 1 + w.restarts
 		w.mu.Unlock()
 		s.store.Put("servers", w.ID, entry)
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -168,7 +168,7 @@
 	g.relay.OnContainmentChange, g.relay.Position = g.gossip.Announce, g.gossip.Position
 	g.gossip.Containment = &g.relay.Containment
 	workers := platform.NewWorkerClient()
-	g.ranks = &side.Client{Port: s.Ranks, Direct: workers, HTTP: peerClient}
+	g.ranks = &side.Client{Port: s.Ranks, Direct: workers, HTTP: sidecarClient}
 	g.leader = &ranks.Leader{
 		Ranks: g.ranks, Direct: workers,
 		Store: g.store, DecisionLog: g.DecisionLog, Holder: holderName(s.Instance, g.gossip.Incarnation),
--- a/rank/serve/rank.go
+++ b/rank/serve/rank.go
@@ -24,6 +24,9 @@
 	callTimeout = 2 * time.Second
 	// idleTimeout is how long an idle connection of a gate is kept open.
 	idleTimeout = 30 * time.Second
+	// maxRequestBody is the maximum size in bytes of a call. A map of 8 sets of 63 ranks
+	// with 5 experts each has about 10 KB.
+	maxRequestBody = 1 << 20
 	// closeTimeout limits the wait for calls in flight at shutdown.
 	closeTimeout = time.Second
 )
@@ -66,7 +69,7 @@
 	}
 	sidecar := &side.Server{Client: platform.NewWorkerClient(), Engine: r.Settings.Engine}
 	srv := &http.Server{
-		Handler:           http.TimeoutHandler(wire.NewRankAgentServer(sidecar), callTimeout, ""),
+		Handler:           http.MaxBytesHandler(http.TimeoutHandler(wire.NewRankAgentServer(sidecar), callTimeout, ""), maxRequestBody),
 		ReadHeaderTimeout: callTimeout, IdleTimeout: idleTimeout,
 	}
 	done := make(chan error, 1)
