Give the servers of tests addresses without opening them first

Cause: freeAddr opened a listener to see that a port is free and closed it. A process that is being started at that moment, by a test that runs in parallel, holds a copy of the socket until it runs its own program, so that the port is still in use when the server listens.

Package ports hands out addresses without opening them.

--- a/fakes/soak/endless_test.go
+++ b/fakes/soak/endless_test.go
@@ -20,6 +20,7 @@
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/side"
+	"parsleyroute.example/fakes/process/ports"
 )
 
 // peakMB returns the largest resident memory that a process has had.
@@ -81,7 +82,7 @@
 				}()
 			}
 		}()
-		listen := freeAddr(t)
+		listen := ports.Next()
 		settings := filepath.Join(t.TempDir(), "rank.toml")
 		text := fmt.Sprintf("instance = \"r\"\nzone = \"z\"\nlisten = %q\nengine = %q\nmemory = %d\n", listen, ln.Addr(), memoryMB)
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
--- a/fakes/soak/system_test.go
+++ b/fakes/soak/system_test.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -15,6 +14,7 @@
 	"time"
 
 	"parsleyroute.example/fakes/process/meta"
+	"parsleyroute.example/fakes/process/ports"
 	"parsleyroute.example/fakes/process/proxy"
 	"parsleyroute.example/fakes/process/site"
 	"parsleyroute.example/fakes/process/worker"
@@ -87,32 +87,6 @@
 	w.restarts++
 }
 
-// ports allocates loopback ports below the ephemeral range, so that neither
-// outgoing connections nor soak runs in parallel use them.
-var ports = struct {
-	sync.Mutex
-	next int
-}{next: 10000 + os.Getpid()%200*100}
-
-// freeAddr returns an unused loopback address.
-func freeAddr(t *testing.T) netip.AddrPort {
-	t.Helper()
-	ports.Lock()
-	defer ports.Unlock()
-	for range 1000 {
-		if ports.next++; ports.next >= 32000 {
-			ports.next = 10000
-		}
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(ports.next))
-		if ln, err := net.Listen("tcp", addr.String()); err == nil {
-			_ = ln.Close()
-			return addr
-		}
-	}
-	t.Fatal("no free port")
-	return netip.AddrPort{}
-}
-
 func startSystem(t *testing.T, rng *rand.Rand) *system {
 	t.Helper()
 	return startSystemWith(t, rng, systemOptions{})
@@ -127,13 +101,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.store.Close)
-	s.proxy = &proxy.Server{Listen: freeAddr(t)}
+	s.proxy = &proxy.Server{Listen: ports.Next()}
 	if err := s.proxy.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.proxy.Close() })
 	for i := range workerCount {
-		w := &proxiedWorker{Worker: &worker.Worker{ID: fmt.Sprintf("i-%d", i)}, link: fmt.Sprintf("link-%d", i), addr: freeAddr(t), pool: []string{site.PlainPool, site.StreamPool}[i%2]}
+		w := &proxiedWorker{Worker: &worker.Worker{ID: fmt.Sprintf("i-%d", i)}, link: fmt.Sprintf("link-%d", i), addr: ports.Next(), pool: []string{site.PlainPool, site.StreamPool}[i%2]}
 		w.Script = s.faults.script(rand.New(rand.NewPCG(rng.Uint64(), 1)), s.checks, w)
 		if err := w.Start(); err != nil {
 			t.Fatal(err)
@@ -148,7 +122,7 @@
 	s.writeEntries()
 	seeds := []netip.AddrPort{}
 	for i := range gateCount {
-		g := &gate{name: fmt.Sprintf("gate-%d", i), callers: freeAddr(t), ready: freeAddr(t), peers: freeAddr(t), metrics: freeAddr(t)}
+		g := &gate{name: fmt.Sprintf("gate-%d", i), callers: ports.Next(), ready: ports.Next(), peers: ports.Next(), metrics: ports.Next()}
 		g.settings = filepath.Join(s.dir, g.name+".toml")
 		s.gates = append(s.gates, g)
 		seeds = append(seeds, g.peers)
--- a/fakes/system/faults_harness_test.go
+++ b/fakes/system/faults_harness_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"parsleyroute.example/fakes/process/load"
+	"parsleyroute.example/fakes/process/ports"
 	"parsleyroute.example/fakes/process/proxy"
 )
 
@@ -31,13 +32,13 @@
 // agents reach their upstreams, through a fault proxy.
 func newProxiedCluster(s clusterConfig) *proxiedCluster {
 	c := newCluster(clusterConfig{zones: s.zones, seeds: s.seeds, extraDeclarations: s.extraDeclarations})
-	f := &proxiedCluster{cluster: c, proxy: freeAddr()}
+	f := &proxiedCluster{cluster: c, proxy: ports.Next()}
 	c.config = s
 	c.addAgents()
 	var pairs []proxy.LinkConfig
 	for _, a := range c.agents {
-		pairs = append(pairs, proxy.LinkConfig{Name: agentLink(a), Listen: freeAddr(), Target: a.listen},
-			proxy.LinkConfig{Name: backendLink(a), Listen: freeAddr(), Target: a.backend})
+		pairs = append(pairs, proxy.LinkConfig{Name: agentLink(a), Listen: ports.Next(), Target: a.listen},
+			proxy.LinkConfig{Name: backendLink(a), Listen: ports.Next(), Target: a.backend})
 	}
 	links, err := json.Marshal(pairs)
 	Expect(err).NotTo(HaveOccurred())
--- a/fakes/system/harness_test.go
+++ b/fakes/system/harness_test.go
@@ -16,7 +16,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -29,6 +28,7 @@
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/objapi"
 	"parsleyroute.example/core/version/decl"
+	"parsleyroute.example/fakes/process/ports"
 )
 
 const (
@@ -37,28 +37,6 @@
 	rivalKey    = "key-of-the-second-operator" // of the operator "rival"
 )
 
-// ports allocates loopback ports below the ephemeral range, so that outgoing
-// connections never use them. The range depends on the process ID, because test
-// packages run in parallel.
-var ports = struct {
-	sync.Mutex
-	next int
-}{next: 12000 + os.Getpid()%100*180}
-
-// freeAddr returns an unused loopback address.
-func freeAddr() netip.AddrPort {
-	ports.Lock()
-	defer ports.Unlock()
-	for {
-		ports.next++
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(ports.next))
-		if ln, err := net.Listen("tcp", addr.String()); err == nil {
-			_ = ln.Close()
-			return addr
-		}
-	}
-}
-
 // process is a program under test with its log file.
 type process struct {
 	name string
@@ -158,7 +136,7 @@
 func newCluster(s clusterConfig) *cluster {
 	dir, err := os.MkdirTemp("", "parsleyroute")
 	Expect(err).NotTo(HaveOccurred())
-	c := &cluster{dir: dir, config: s, platformAddr: freeAddr(), client: &http.Client{
+	c := &cluster{dir: dir, config: s, platformAddr: ports.Next(), client: &http.Client{
 		Timeout:   30 * time.Second,
 		Transport: &http.Transport{MaxIdleConnsPerHost: 512},
 	}}
@@ -210,7 +188,7 @@
 func (c *cluster) addAgent(zone, service, kind string, i int, args []string) {
 	n := &node{
 		name: fmt.Sprintf("agent-%s-%s-%d", service, zone, i), zone: zone,
-		listen: freeAddr(), backend: freeAddr(), upstream: fmt.Sprintf("%s-%s-%d", service, zone, i),
+		listen: ports.Next(), backend: ports.Next(), upstream: fmt.Sprintf("%s-%s-%d", service, zone, i),
 		kind: kind, args: args,
 	}
 	n.peer = n.listen
@@ -229,7 +207,7 @@
 
 func (c *cluster) addEntry(zone string, i int) {
 	c.entries = append(c.entries, &node{
-		name: fmt.Sprintf("entry-%s-%d", zone, i), zone: zone, listen: freeAddr(), peer: freeAddr(),
+		name: fmt.Sprintf("entry-%s-%d", zone, i), zone: zone, listen: ports.Next(), peer: ports.Next(),
 	})
 }
 
--- a/fakes/system/map_test.go
+++ b/fakes/system/map_test.go
@@ -13,6 +13,7 @@
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/suite/ranks"
+	"parsleyroute.example/fakes/process/ports"
 )
 
 // resumeTimeout is the time within which a group must run steps again after a fault.
@@ -26,7 +27,7 @@
 }
 
 func newRankCluster(n int) *rankCluster {
-	r := &rankCluster{group: freeAddr()}
+	r := &rankCluster{group: ports.Next()}
 	s := clusterConfig{
 		zones: []string{"a"}, entries: 2, limit: 4, coldLimit: 4,
 		extraDeclarations: "[[service]]\nname = \"experts\"\nlayers = 2\nexperts = 8\nslots = 3\nroutes = [{prefix = \"/\", repeatable = true}]\n",
@@ -34,7 +35,7 @@
 	var agents []*node
 	for i := range n {
 		a := &node{
-			name: fmt.Sprintf("agent-rank-%d", i), zone: "a", listen: freeAddr(), backend: freeAddr(),
+			name: fmt.Sprintf("agent-rank-%d", i), zone: "a", listen: ports.Next(), backend: ports.Next(),
 			upstream: fmt.Sprintf("rank-%d", i), kind: "engine", engineSettings: fmt.Sprintf("group = %q\nrank = %d\n", r.group, i),
 		}
 		a.peer = a.listen
