Bound the memory for responses that a gate buffers

Bytes without end (users' report): 400 requests whose workers answer with bodies or events without end take 492 MB of a gate that has 184 MB, the smallest of the site files (TestEndlessResponses, real gates). The platform would kill it, and all its callers' requests with it. The limits held for each response: up to 1 MB, an event up to 1 MB, and a standby up to 64 events of 1 MB.

All responses that a gate buffers share 15 hundredths of its memory now. A plain response for which there is no room is passed on as it arrives, so that it can't be retried, and is not lost; an event that does not fit breaks its stream off. Events of up to 8 KB are not counted. A standby keeps events of 1 MB at most in all.

--- a/fakes/soak/endless_test.go
+++ b/fakes/soak/endless_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +23,7 @@
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/side"
 	"parsleyroute.example/fakes/process/ports"
+	"parsleyroute.example/fakes/process/worker"
 )
 
 // peakMB returns the largest resident memory that a process has had.
@@ -51,6 +54,57 @@
 	}
 }
 
+// Guards against a gate whose memory is exceeded by the responses of faulty workers, many at
+// a time, which send bytes without end in bodies, events, comments and headers.
+func TestEndlessResponses(t *testing.T) {
+	t.Parallel()
+	// The smallest memory of a gate in a site file.
+	s := startSystemWith(t, rand.New(rand.NewPCG(11, 7)), systemOptions{memoryMB: 184, slots: 128, timeout: 3 * time.Second})
+	defer s.copyLogs(t, 0)
+	s.waitServing(t, recoveryTimeout)
+	g := s.gates[0]
+	var reached atomic.Int64
+	for _, response := range []struct{ name, header, repeated string }{
+		{"a body without length", "\r\n", "x"},
+		{"a body with a length", "Content-Length: 900000000000\r\n\r\n", "x"},
+		{"chunks", "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + strings.Repeat("x", 0x4000) + "\r\n"},
+		{"an event", "Content-Type: text/event-stream\r\n\r\ndata: ", "x"},
+		{"comments", "Content-Type: text/event-stream\r\n\r\n", ": " + strings.Repeat("x", 900<<10) + "\n\n"},
+		{"a field", "X: ", "x"},
+	} {
+		for _, w := range s.workers {
+			w.SetScript(func(c *worker.Conn, req *worker.ReceivedRequest) {
+				reached.Add(1)
+				c.Printf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig\r\n%s", worker.HeaderAttemptID, req.AttemptID, worker.HeaderSignature, response.header)
+				writeEndless(c, response.repeated, 1<<20)
+				c.Disconnect()
+			})
+		}
+		var wg sync.WaitGroup
+		for i := range 400 {
+			wg.Go(func() {
+				kind := []string{"safe", "unsafe", "streaming", "streaming"}[i%4]
+				status, _, err := s.send(g, kind, "/a/", fmt.Sprintf("%s-%d", strings.ReplaceAll(response.name, " ", "-"), i))
+				if err == nil && status == http.StatusOK {
+					t.Errorf("%s: a %s request got a whole answer", response.name, kind)
+				}
+			})
+		}
+		wg.Wait()
+		t.Logf("%s: at most %d MB, %d requests reached workers", response.name, peakMB(t, g.cmd.Process.Pid), reached.Load())
+	}
+	if peak := peakMB(t, g.cmd.Process.Pid); peak >= s.memoryMB {
+		t.Errorf("the gate has used %d MB of %d MB", peak, s.memoryMB)
+	}
+	if reached.Load() < 200 {
+		t.Errorf("only %d requests reached workers", reached.Load())
+	}
+	for _, w := range s.workers {
+		w.SetScript(s.faults.script(rand.New(rand.NewPCG(1, 1)), s.checks, w))
+	}
+	s.waitServing(t, recoveryTimeout)
+}
+
 // Guards against a sidecar whose memory is exceeded by an engine that answers with bytes
 // without end, while the gates of a large deployment call it.
 func TestEndlessReports(t *testing.T) {
--- a/gate/request/event/event.go
+++ b/gate/request/event/event.go
@@ -30,10 +30,18 @@
 // Reader reads complete events. It discards an event that is incomplete at the
 // end of the stream.
 type Reader struct {
+	// Reserve, if set, reserves memory for n more bytes of an event, if there is room.
+	Reserve func(n int) bool
+
 	r   *bufio.Reader
 	buf []byte
+	// reserved is the size for which memory was reserved.
+	reserved int
 }
 
+// minReserved is the size in bytes up to which no memory is reserved for an event.
+const minReserved = 8 << 10
+
 // NewReader returns a Reader that reads from r.
 func NewReader(r io.Reader) *Reader {
 	// Events are a few hundred bytes long.
@@ -47,7 +55,7 @@
 
 // Next returns the next event, which is valid until the next call. It returns
 // io.EOF if the stream ends between two events, io.ErrUnexpectedEOF if it ends
-// within an event, trace.LimitExceeded if an event exceeds MaxSize, and
+// within an event, trace.LimitExceeded if an event exceeds MaxSize or the memory, and
 // otherwise the error of the underlying reader.
 func (r *Reader) Next() (Event, error) {
 	r.buf = r.buf[:0]
@@ -83,6 +91,9 @@
 	start := len(r.buf)
 	for {
 		part, err := r.r.ReadSlice('\n')
+		if !r.grow(len(r.buf) + len(part)) {
+			return nil, trace.LimitExceeded("no memory is left for an event of more than %d bytes", len(r.buf))
+		}
 		r.buf = append(r.buf, part...)
 		switch {
 		case err == nil:
@@ -95,6 +106,22 @@
 	}
 }
 
+// grow makes room for an event of the given size.
+func (r *Reader) grow(size int) bool {
+	if size <= cap(r.buf) {
+		return true
+	}
+	next := max(2*cap(r.buf), size)
+	if more := next - max(r.reserved, minReserved); more > 0 && r.Reserve != nil {
+		if !r.Reserve(more) {
+			return false
+		}
+		r.reserved = next
+	}
+	r.buf = append(make([]byte, 0, next), r.buf...)
+	return true
+}
+
 // Buffered reports whether part of the next event has already been read from the
 // underlying reader.
 func (r *Reader) Buffered() bool { return r.r.Buffered() > 0 }
--- a/gate/request/relay/answer.go
+++ b/gate/request/relay/answer.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -14,7 +13,6 @@
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/meter"
 	"parsleyroute.example/gate/process/fleet"
-	"parsleyroute.example/gate/request/event"
 )
 
 const (
@@ -22,6 +20,9 @@
 	// response is forwarded. A request can be retried if its response is
 	// interrupted before that.
 	maxBufferedBody = 1 << 20
+	// minBodyBuffer is the size in bytes of the buffer for the body of a response, which
+	// doubles up to maxBufferedBody. Plain responses of the sites have 800 bytes.
+	minBodyBuffer = 2 << 10
 	// maxStaleResponses is the maximum number of responses to earlier requests
 	// that are skipped on one connection.
 	maxStaleResponses = 4
@@ -57,12 +58,12 @@
 	body := c.conn.Body(h, t.method)
 	if t.route.Kind == core.RouteStream && h.StatusCode() == fasthttp.StatusOK && t.authentic(h, info) {
 		start := time.Now()
-		res := t.forwardEvents(ctx, h, event.NewReader(body), w)
+		res := t.forwardEvents(ctx, h, t.newEventReader(body), w)
 		res.responding = time.Since(start)
 		return res
 	}
 	w.recordHeader()
-	data, more, err := readBody(body)
+	data, more, err := t.readBody(body)
 	if err != nil {
 		return attemptResult{status: attemptLost, outcome: lostOutcome(ctx), err: err}
 	}
@@ -139,12 +140,38 @@
 	return core.ResponseInfo{}, trace.BadParameter("the connection returned only responses to other requests")
 }
 
-// readBody reads up to maxBufferedBody bytes. more is set if it stopped at that
-// limit.
-func readBody(body io.Reader) (data []byte, more bool, err error) {
-	var b bytes.Buffer
-	n, err := b.ReadFrom(io.LimitReader(body, maxBufferedBody))
-	return b.Bytes(), err == nil && n == maxBufferedBody, err
+// reserve reserves memory for n bytes of a response until the end of the request, and
+// reports whether there is room.
+func (t *transaction) reserve(n int) bool {
+	if !t.relay.Responses.Take(n) {
+		meter.Event("responses_unbuffered")
+		return false
+	}
+	t.buffered.Add(int64(n))
+	return true
+}
+
+// readBody reads up to maxBufferedBody bytes, or fewer if there is no memory for them.
+// more is set if it stopped at that limit.
+func (t *transaction) readBody(body io.Reader) (data []byte, more bool, err error) {
+	for len(data) < maxBufferedBody {
+		if len(data) == cap(data) {
+			size := max(minBodyBuffer, 2*cap(data))
+			if !t.reserve(size - cap(data)) {
+				return data, true, nil
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return data, false, nil
+		case err != nil:
+			return data, false, err
+		}
+	}
+	return data, true, nil
 }
 
 // handleResponse handles a complete response: it forwards it, keeps it in
--- a/gate/request/relay/relay.go
+++ b/gate/request/relay/relay.go
@@ -45,6 +45,8 @@
 	Position            func() policy.Position
 	// DecisionLog logs the events of requests.
 	DecisionLog *evlog.Logger
+	// Responses bounds the bytes of responses that are buffered; nil means no limit.
+	Responses *policy.ByteBudget
 	// LongOutage is the duration of a pool's outage after which stream requests no
 	// longer wait for the pool to recover. Zero means 12 s, which is longer than a
 	// group of ranks takes to re-form after a zone is disconnected (4 to 9 s were
--- a/gate/request/relay/standby.go
+++ b/gate/request/relay/standby.go
@@ -169,14 +169,15 @@
 		return attemptResult{status: attemptFailed, outcome: fleet.Failed, err: trace.Errorf("the upstream returned status %d", status)}
 	}
 	s.body = body
-	if s.data, s.more, err = readBody(body); err != nil {
+	if s.data, s.more, err = t.readBody(body); err != nil {
 		return attemptResult{status: attemptLost, outcome: lostOutcome(s.ctx), err: err}
 	}
 	return attemptResult{}
 }
 
 func (s *standby) receiveEvents(body io.Reader) attemptResult {
-	s.events = &replayReader{r: event.NewReader(body)}
+	s.events = &replayReader{r: s.transaction.newEventReader(body)}
+	size := 0
 	for range maxPendingEvents {
 		e, err := s.events.r.Next()
 		switch {
@@ -186,6 +187,9 @@
 		case err != nil:
 			return attemptResult{status: attemptLost, outcome: lostOutcome(s.ctx), err: err}
 		}
+		if size += len(e.Raw); size > event.MaxSize || !s.transaction.reserve(len(e.Raw)) {
+			break
+		}
 		e.Raw = slices.Clone(e.Raw)
 		s.events.pending = append(s.events.pending, e)
 		if e.HasData && !s.position.repeats(e) {
--- a/gate/request/relay/stream.go
+++ b/gate/request/relay/stream.go
@@ -31,6 +31,13 @@
 	Buffered() bool
 }
 
+// newEventReader returns a reader of the events of a response, whose memory is limited.
+func (t *transaction) newEventReader(body io.Reader) *event.Reader {
+	r := event.NewReader(body)
+	r.Reserve = t.reserve
+	return r
+}
+
 // streamState is the progress of a stream.
 type streamState struct {
 	// The position is that of the last event that the caller has received.
--- a/gate/request/relay/transaction.go
+++ b/gate/request/relay/transaction.go
@@ -85,6 +85,9 @@
 	// retryReserved is set from taking a retry from the budget until it is sent.
 	retryReserved bool
 
+	// buffered counts the bytes that the request has reserved for responses.
+	buffered atomic.Int64
+
 	// refusalDetails holds further fields for the log line of a refusal.
 	refusalDetails []any
 
@@ -116,6 +119,7 @@
 	defer t.returnUnsentRetry()
 	t.prepareRequest()
 	defer t.observeDuration()
+	defer func() { t.relay.Responses.Return(int(t.buffered.Load())) }()
 	t.parts = t.partKeys()
 	for {
 		if t.refuseDraining(ctx) || t.refuseContained(ctx) {
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -56,6 +56,9 @@
 	// maxContenders is the number of gates that contend for the leader's lease.
 	// Each of them calls the store about once a second.
 	maxContenders = 2
+	// responseMemory is the share of the memory for responses that are buffered, in
+	// hundredths.
+	responseMemory = 15
 	// filesPerConnection is the number of file descriptors per open connection
 	// of a caller, so that callers use at most half of the descriptors.
 	filesPerConnection = 2
@@ -162,6 +165,7 @@
 	g.relay = &relay.Relay{
 		Protocol: platform.Protocol{}, Table: g.table.Load, DecisionLog: g.DecisionLog,
 		Picker:      &fleet.Picker{Fleet: g.fleet, Zone: s.Zone},
+		Responses:   &policy.ByteBudget{Limit: s.memoryShare(responseMemory)},
 		RetryLimits: relay.RetryLimits{Ratio: s.Retry.Ratio, Burst: s.Retry.Burst, Window: s.Retry.Window.Duration},
 	}
 	g.fleet.OnRestart = g.relay.ConfirmCrash
--- a/gate/serve/settings.go
+++ b/gate/serve/settings.go
@@ -83,6 +83,12 @@
 	s.Cold.Overshoot = cmp.Or(s.Cold.Overshoot, defaultOvershoot)
 }
 
+// memoryShare returns a share of the memory in bytes, given in hundredths; zero if the
+// memory is not limited.
+func (s *Settings) memoryShare(hundredths int64) int64 {
+	return int64(s.Memory) << 20 / 100 * hundredths
+}
+
 // Check reports the first setting that is missing or out of range.
 func (s *Settings) Check() error {
 	if err := conf.CheckIdentity(s.Instance, s.Zone); err != nil {
