--- a/fakes/soak/endless_test.go
+++ b/fakes/soak/endless_test.go
@@ -23,6 +23,7 @@
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/side"
 	"parsleyroute.example/fakes/process/ports"
+	"parsleyroute.example/fakes/process/site"
 	"parsleyroute.example/fakes/process/worker"
 )
 
@@ -116,29 +117,10 @@
 		{"a field", "HTTP/1.1 200 OK\r\nX: ", "x"},
 		{"interim responses", "", "HTTP/1.1 103 x\r\n\r\n"},
 	} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = ln.Close() })
-		go func() {
-			for {
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer func() { _ = c.Close() }()
-					if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-						_, _ = io.WriteString(c, response.header)
-						writeEndless(c, response.repeated, 40<<20)
-					}
-				}()
-			}
-		}()
+		engine := startEndless(t, response.header, response.repeated)
 		listen := ports.Next()
 		settings := filepath.Join(t.TempDir(), "rank.toml")
-		text := fmt.Sprintf("instance = \"r\"\nzone = \"z\"\nlisten = %q\nengine = %q\nmemory = %d\n", listen, ln.Addr(), memoryMB)
+		text := fmt.Sprintf("instance = \"r\"\nzone = \"z\"\nlisten = %q\nengine = %q\nmemory = %d\n", listen, engine, memoryMB)
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -263,3 +245,66 @@
 		t.Errorf("only %d of %d requests were served", served.Load(), requests)
 	}
 }
+
+// Guards against a gate whose memory is exceeded by a store that answers all calls with
+// bytes without end.
+func TestEndlessStore(t *testing.T) {
+	t.Parallel()
+	for _, response := range []struct{ name, header, repeated string }{
+		{"a body without length", "HTTP/1.1 200 OK\r\n\r\n{\"entries\":[", "["},
+		{"a body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n{\"events\":[", "{},"},
+		{"a field", "HTTP/1.1 200 OK\r\nX: ", "x"},
+	} {
+		addr := startEndless(t, response.header, response.repeated)
+		s := &system{t: t, dir: t.TempDir(), checks: newChecks(), systemOptions: systemOptions{grace: grace, memoryMB: 184}}
+		defer s.copyLogs(t, 0)
+		g := &gate{name: "gate-0", callers: ports.Next(), ready: ports.Next(), peers: ports.Next(), metrics: ports.Next()}
+		g.settings = filepath.Join(s.dir, g.name+".toml")
+		settings := &site.GateSettings{
+			Name: g.name, CallerAddr: g.callers, ReadyAddr: g.ready, PeerAddr: g.peers, MetricsAddr: g.metrics,
+			StoreAddr: addr, SeedAddrs: []netip.AddrPort{g.peers}, GracePeriod: grace, MemoryMB: s.memoryMB,
+		}
+		if err := settings.Write(g.settings); err != nil {
+			t.Fatal(err)
+		}
+		g.start(t, s.dir)
+		t.Cleanup(g.kill)
+		time.Sleep(5 * time.Second)
+		peak := peakMB(t, g.cmd.Process.Pid)
+		t.Logf("%s: at most %d MB", response.name, peak)
+		if !g.running() || peak >= s.memoryMB {
+			t.Errorf("%s: the gate has used %d MB of %d MB, running: %t", response.name, peak, s.memoryMB, g.running())
+		}
+		if status, _, err := s.send(g, "safe", "/a/", "endless-store"); err != nil || status != http.StatusServiceUnavailable {
+			t.Errorf("%s: status %d, error %v", response.name, status, err)
+		}
+		g.kill()
+	}
+}
+
+// startEndless starts a server that answers each request with a header and bytes without
+// end.
+func startEndless(t *testing.T, header, repeated string) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, header)
+					writeEndless(c, repeated, 40<<20)
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
