Teach the stand-in of the store to come back from a copy

The users' store may come back from a copy some seconds old (Store-Era): what it has acknowledged since is gone, revisions are given out again, a watch from one that it does not have gets 410, and the header Store-Era rises by one in all answers.

--- a/core/conn/rest/client.go
+++ b/core/conn/rest/client.go
@@ -73,6 +73,8 @@
 	Header map[string]string
 	// Body is encoded as JSON; nil means no body.
 	Body any
+	// OnHeader, if set, is called with the header of the response, whatever its status.
+	OnHeader func(h *fasthttp.ResponseHeader)
 }
 
 // Call sends one request with the JSON body in and decodes the response into
@@ -182,6 +184,9 @@
 			return 0, nil, false, trace.LimitExceeded("the server sent more than %d interim responses", maxInterimResponses)
 		}
 	}
+	if r.OnHeader != nil {
+		r.OnHeader(&h)
+	}
 	limit := cmp.Or(c.MaxBody, maxResponseBody)
 	if h.ContentLength() > limit {
 		return 0, nil, false, fasthttp.ErrBodyTooLarge
--- a/core/store.go
+++ b/core/store.go
@@ -43,7 +43,8 @@
 }
 
 // Object is a versioned object. Version is the store-wide revision of its last
-// write. A tombstone has Deleted set and no Value.
+// write, with the store's era if it has any (see NewVersion). A tombstone has Deleted
+// set and no Value.
 type Object struct {
 	Key
 	Version uint64
--- a/fakes/process/meta/meta.go
+++ b/fakes/process/meta/meta.go
@@ -7,9 +7,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -44,7 +46,11 @@
 	objects  map[string]map[string]*object
 	history  []event
 	// compactedTo is the revision up to which the history has been deleted.
-	compactedTo  uint64
+	compactedTo uint64
+	// era is the number of times that the store has come back from a copy, and copied the
+	// copy that was taken last.
+	era          uint64
+	copied       *content
 	changed      chan struct{}
 	faults       Faults
 	requestCount int
@@ -56,6 +62,49 @@
 	ln   net.Listener
 }
 
+// headerEra names the store's era in all responses, once there is one.
+const headerEra = "Store-Era"
+
+// content is what the store loses when it comes back from a copy.
+type content struct {
+	revision, compactedTo uint64
+	objects               map[string]map[string]*object
+	history               []event
+}
+
+// Copy takes a copy of the store.
+func (s *Server) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &content{revision: s.revision, compactedTo: s.compactedTo, objects: map[string]map[string]*object{}, history: slices.Clone(s.history)}
+	for kind, objects := range s.objects {
+		c.objects[kind] = maps.Clone(objects)
+	}
+	s.copied = c
+}
+
+// Restore brings the store back from the last copy, in the next era. Waiting watches are cut
+// off.
+func (s *Server) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.copied
+	s.era++
+	s.revision, s.compactedTo, s.history = c.revision, c.compactedTo, slices.Clone(c.history)
+	s.objects = map[string]map[string]*object{}
+	for kind, objects := range c.objects {
+		s.objects[kind] = maps.Clone(objects)
+	}
+	s.notifyWatches()
+}
+
+// Era returns the store's era.
+func (s *Server) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 type metadata struct {
 	Name            string   `json:"name"`
 	Revision        uint64   `json:"revision"`
@@ -193,6 +242,9 @@
 	s.mu.Lock()
 	s.requestCount++
 	f := s.faults
+	if s.era > 0 {
+		w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
+	}
 	s.mu.Unlock()
 	if f.Hang {
 		<-r.Context().Done()
@@ -251,9 +303,14 @@
 		return
 	}
 	timeout := time.After(time.Duration(ms) * time.Millisecond)
+	era := s.Era()
 	for timedOut := false; ; {
 		s.mu.Lock()
-		if after < s.compactedTo {
+		if s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after < s.compactedTo || after > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
