Derive the versions of maps from those seen, not from tokens

A version is one above those that the ranks report, with 28 instead of 16 random bits that tell processes apart.

TestVersionsOfLateEras fails before.

--- a/gate/process/ranks/doc.go
+++ b/gate/process/ranks/doc.go
@@ -4,7 +4,7 @@
 //
 // # Switch protocol
 //
-// Each switch has a version, derived from the lease's token and the nonce of the
+// Each switch has a version, derived from the versions seen and the nonce of the
 // process so that two are very unlikely to be equal, and four phases:
 //
 //  1. prepare: each rank copies the experts that the map assigns to it. The
--- a/gate/process/ranks/group.go
+++ b/gate/process/ranks/group.go
@@ -140,13 +140,15 @@
 }
 
 // nonceBits is the number of low bits of a version that distinguish processes.
-// Versions stay below 2^53, so that JSON numbers represent them exactly.
-const nonceBits = 16
+// Versions stay below 2^53, so that JSON numbers represent them exactly, for some 33
+// million switches of a group. They do not depend on tokens, which grow with each era of
+// the store.
+const nonceBits = 28
 
 // nextVersion returns a map version above all versions seen. The nonce makes it
 // unlikely that another process uses the same version.
 func (g *group) nextVersion() uint64 {
-	g.highestVersion = (max(g.token, g.highestVersion>>nonceBits)+1)<<nonceBits | g.nonce
+	g.highestVersion = (g.highestVersion>>nonceBits+1)<<nonceBits | g.nonce
 	return g.highestVersion
 }
 
--- a/gate/process/ranks/recover_test.go
+++ b/gate/process/ranks/recover_test.go
@@ -191,3 +191,18 @@
 	g.Expect(group.confirmSettled([]core.RankReport{{Map: 9, Step: 30}})).To(BeFalse())
 	g.Expect(group.confirmSettled([]core.RankReport{{Map: 9, Step: 31}})).To(BeTrue())
 }
+
+// Guards against a version of a map that a JSON number does not represent exactly, since
+// fencing tokens hold the era of the store.
+func TestVersionsOfLateEras(t *testing.T) {
+	g := NewWithT(t)
+	group := &group{token: core.NewVersion(core.MaxEra, 1<<30), nonce: 1<<nonceBits - 1}
+	var last uint64
+	for range 1000 {
+		version := group.nextVersion()
+		g.Expect(version).To(BeNumerically("<", 1<<53))
+		g.Expect(version).To(BeNumerically(">", last))
+		last = version
+	}
+	g.Expect(group.token).To(BeNumerically("<", 1<<53))
+}
