Hold the lease through a store that comes back from a copy

Before, a contender that found none, or one whose holder had ended, took it at once beside a holder that the store had lost; the tokens of the new era could be lower than those that ranks had seen, so that no leader's orders were accepted; and a write of a lost era that took effect later counted as the holder's own.

The tokens hold the era. The holder, whose term is still valid, takes the lease again at once, with a new token. All others wait for the TTL from when they learn of the era, whatever they find; a process that has just started waits too if no lease is there, and, unless tokens are checked, if the holder has ended. A holder that releases the lease in a later era marks it so, since a missing one may be a lost one. A write counts as the own one only if it was sent in the era in which it took effect.

--- a/core/process/lease/lease.go
+++ b/core/process/lease/lease.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"sync/atomic"
@@ -62,7 +61,13 @@
 	// Alive reports whether the process of another holder is known to be running,
 	// so that the lease is read less often. If it is nil, no process is known to
 	// be running.
-	Alive  func(holder string) bool
+	Alive func(holder string) bool
+	// Era returns the latest era of the store that is known (see core.NewVersion); nil
+	// means that the store never comes back from a copy.
+	Era func() uint64
+	// Fenced is set if the receivers of the holder's requests refuse outdated tokens, so
+	// that a holder of a lost era does no harm.
+	Fenced bool
 	Logger log.Logger
 
 	term atomic.Pointer[term]
@@ -81,9 +86,20 @@
 	lastOther  core.Object
 	otherSince time.Time
 	lastRead   time.Time
-	// pendingWrites maps the nonce of each write whose outcome is unknown to a
-	// time just before it was sent.
-	pendingWrites map[string]time.Time
+	// pendingWrites maps the nonce of each write whose outcome is unknown to when it was
+	// sent.
+	pendingWrites map[string]pendingWrite
+	// era is the store's era that this process acts in, and eraSince the time since which it
+	// is known. eraChanged is set if this process has seen another era before.
+	era        uint64
+	eraSince   time.Time
+	eraChanged bool
+}
+
+// pendingWrite is the time just before a write was sent, and the era that was known then.
+type pendingWrite struct {
+	sent time.Time
+	era  uint64
 }
 
 // term is a period in which this process holds the lease.
@@ -126,6 +142,7 @@
 	}
 	l.setDefaults()
 	for {
+		l.noticeEra()
 		wait := l.RenewInterval
 		if l.canSkipAttempt() {
 			wait /= checksPerRenewal
@@ -155,7 +172,39 @@
 	if l.Logger == nil {
 		l.Logger = log.NewNopLogger()
 	}
-	l.pendingWrites = map[string]time.Time{}
+	l.pendingWrites = map[string]pendingWrite{}
+}
+
+// noticeEra records the era of the store.
+func (l *Lease) noticeEra() {
+	if l.Era == nil {
+		return
+	}
+	era := l.Era()
+	if era <= l.era && !l.eraSince.IsZero() {
+		return
+	}
+	l.eraChanged = !l.eraSince.IsZero()
+	if l.era, l.eraSince = era, l.Clock.Now(); l.eraChanged {
+		meter.Event("lease_eras")
+		level.Info(l.Logger).Log("msg", "the store has come back from a copy", "lease", l.Name, "era", era)
+	}
+}
+
+// mayHaveLostHolder reports whether the store may have come back from a copy less than the
+// TTL ago, so that a process that it no longer knows of may still hold the lease.
+func (l *Lease) mayHaveLostHolder() bool {
+	return l.era > 0 && l.Clock.Now().Sub(l.eraSince) < l.TTL
+}
+
+// isEnded reports whether another holder is known to have ended and no process that the
+// store has lost can hold the lease. A process that has just started does not know since
+// when the store has been in its era; it only waits if the lease is not fenced.
+func (l *Lease) isEnded(holder string) bool {
+	if l.Ended == nil || !l.Ended(holder) {
+		return false
+	}
+	return !l.mayHaveLostHolder() || l.Fenced && !l.eraChanged
 }
 
 // canSkipAttempt reports whether another process is known to hold the lease and
@@ -164,7 +213,7 @@
 	if _, ok := l.Held(); ok || l.lastOther.Version <= l.lastOwn.Version {
 		return false
 	}
-	if l.Ended != nil && l.Ended(l.lastOther.Writer) {
+	if core.Era(l.lastOther.Version) != l.era || l.isEnded(l.lastOther.Writer) {
 		return false
 	}
 	readInterval := l.RenewInterval
@@ -178,15 +227,24 @@
 
 // attempt renews the lease if it is held, and otherwise tries to acquire it.
 func (l *Lease) attempt(ctx context.Context) error {
-	if token, ok := l.Held(); ok {
+	token, held := l.Held()
+	if held && core.Era(l.lastOwn.Version) == l.era {
 		return l.write(ctx, token, l.lastOwn.Version)
 	}
 	obj, err := l.readObject(ctx)
+	l.noticeEra()
 	switch {
 	case trace.IsNotFound(err):
+		if !held && l.mayHaveLostHolder() {
+			return nil
+		}
 		return l.write(ctx, 0, 0)
 	case err != nil:
 		return err
+	case held && core.Era(obj.Version) == l.era && !l.isPending(obj):
+		// The store has lost the lease of this process. Any other contender waits for the
+		// TTL, in which this term ends, so that the object is from the copy.
+		return l.write(ctx, 0, obj.Version)
 	}
 	l.recordRead(obj)
 	if _, ok := l.Held(); ok {
@@ -198,12 +256,29 @@
 	if obj.Version == l.lastOwn.Version {
 		return l.write(ctx, 0, obj.Version)
 	}
-	if l.Clock.Now().Sub(l.otherSince) < l.observedTTL(obj) && (l.Ended == nil || !l.Ended(obj.Writer)) {
+	if isReleased(obj) && !l.mayHaveLostHolder() {
+		return l.write(ctx, 0, obj.Version)
+	}
+	if l.Clock.Now().Sub(l.otherSince) < l.observedTTL(obj) && !l.isEnded(obj.Writer) {
 		return nil
 	}
 	return l.write(ctx, 0, obj.Version)
 }
 
+// isPending reports whether an object was written by a call of this process whose outcome
+// was unknown, in the same era. A call that was sent in an earlier era may take effect in a
+// later one, beside the lease of another process.
+func (l *Lease) isPending(obj core.Object) bool {
+	w, ok := l.pendingWrites[obj.Nonce]
+	return ok && obj.Writer == l.Holder && w.era == core.Era(obj.Version)
+}
+
+// isReleased reports whether the holder has released the lease.
+func isReleased(obj core.Object) bool {
+	var v wire.Lease
+	return proto.Unmarshal(obj.Value, &v) == nil && v.GetHolder() == ""
+}
+
 // observedTTL returns the time for which another holder's write excludes this
 // process.
 func (l *Lease) observedTTL(obj core.Object) time.Duration {
@@ -231,19 +306,27 @@
 	start := l.Clock.Now()
 	// A write that takes effect after more than the TTL yields no valid term; it
 	// is then treated as a write of another process.
-	maps.DeleteFunc(l.pendingWrites, func(_ string, sent time.Time) bool { return start.Sub(sent) > l.TTL })
-	l.pendingWrites[obj.Nonce] = start
+	maps.DeleteFunc(l.pendingWrites, func(_ string, w pendingWrite) bool { return start.Sub(w.sent) > l.TTL })
+	era := l.era
+	l.pendingWrites[obj.Nonce] = pendingWrite{sent: start, era: era}
 	writeCtx, cancel := context.WithTimeout(ctx, l.RenewInterval)
 	written, err := writeFunc(writeCtx, obj)
 	cancel()
+	l.noticeEra()
 	if err == nil {
-		l.recordOwnWrite(written, start)
+		l.recordRead(written)
 		return nil
 	}
+	if l.era != era {
+		// What the store has now does not tell whether the lease was taken over. The next
+		// attempt acts in the new era.
+		return err
+	}
 	// The write may have taken effect although the call failed, and a version
 	// mismatch may be due to an earlier write of this process whose response was
 	// lost. Reading the object resolves both cases.
 	current, readErr := l.readObject(ctx)
+	l.noticeEra()
 	switch {
 	case trace.IsNotFound(readErr):
 		l.endTerm("the object was deleted")
@@ -268,11 +351,10 @@
 
 // recordRead updates the state from the object that was just read.
 func (l *Lease) recordRead(obj core.Object) {
-	start, ok := l.pendingWrites[obj.Nonce]
 	switch {
 	case obj.Version <= l.lastOwn.Version: // unchanged, or a read from a lagging replica
-	case ok && obj.Writer == l.Holder:
-		l.recordOwnWrite(obj, start)
+	case l.isPending(obj):
+		l.recordOwnWrite(obj, l.pendingWrites[obj.Nonce].sent)
 	default:
 		if obj.Version != l.lastOther.Version {
 			l.lastOther, l.otherSince = obj, l.Clock.Now()
@@ -293,9 +375,8 @@
 	// Earlier writes can no longer take effect, because they were conditional
 	// on older versions.
 	clear(l.pendingWrites)
-	next := &term{token: v.GetToken(), validUntil: sent.Add(l.TTL - l.TTL/marginDivisor)}
-	if next.token == 0 {
-		next.token = obj.Version
+	next := &term{token: tokenOf(obj, &v), validUntil: sent.Add(l.TTL - l.TTL/marginDivisor)}
+	if next.token == obj.Version {
 		meter.Event("lease_acquired")
 		level.Info(l.Logger).Log("msg", "acquired lease", "lease", l.Name, "token", next.token)
 	}
@@ -303,14 +384,23 @@
 	l.term.Store(next)
 }
 
-// recordToken updates the highest token from an object of another process. The
-// first write of a term contains no token; its version is the token.
+// recordToken updates the highest token from an object of another process.
 func (l *Lease) recordToken(obj core.Object) {
 	var v wire.Lease
 	if proto.Unmarshal(obj.Value, &v) != nil {
 		return
 	}
-	l.highestToken.Store(max(l.highestToken.Load(), cmp.Or(v.GetToken(), obj.Version)))
+	l.highestToken.Store(max(l.highestToken.Load(), tokenOf(obj, &v)))
+}
+
+// tokenOf returns the token of the term to which a write belongs. The first write of a term
+// contains no token; its version is the token. So it is for a write that names a token of a
+// lost era, which may have been given out to other holders since.
+func tokenOf(obj core.Object, v *wire.Lease) uint64 {
+	if t := v.GetToken(); t != 0 && core.Era(t) == core.Era(obj.Version) {
+		return t
+	}
+	return obj.Version
 }
 
 // endTerm ends the current term, if there is one.
@@ -322,7 +412,8 @@
 }
 
 // release ends the term and deletes the object, so that another process need not
-// wait for the TTL.
+// wait for the TTL. If the store has come back from a copy before, it writes an object
+// without a holder instead: a missing one may be lost.
 func (l *Lease) release(ctx context.Context) {
 	_, held := l.Held()
 	l.endTerm("released")
@@ -331,6 +422,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
+	if core.Era(l.lastOwn.Version) > 0 {
+		value, err := proto.Marshal(&wire.Lease{TtlMs: uint64(l.TTL.Milliseconds())})
+		if err == nil {
+			_, err = l.Store.Update(ctx, core.Object{Key: l.key(), Version: l.lastOwn.Version, Writer: l.Holder, Nonce: uuid.NewString(), Value: value})
+		}
+		if err != nil {
+			level.Debug(l.Logger).Log("msg", "failed to release lease", "lease", l.Name, "err", err)
+		}
+		return
+	}
 	if _, err := l.Store.Delete(ctx, l.lastOwn); err != nil {
 		level.Debug(l.Logger).Log("msg", "failed to release lease", "lease", l.Name, "err", err)
 	}
--- a/core/process/lease/lease_test.go
+++ b/core/process/lease/lease_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,7 +23,7 @@
 const ttl = 10 * time.Second
 
 // store is a fake of the object API. It delays calls, loses responses, applies
-// some lost writes later and has outages.
+// some lost writes later, has outages and comes back from copies.
 type store struct {
 	core.Store
 	mu         sync.Mutex
@@ -30,6 +32,98 @@
 	down       bool
 	obj        core.Object // deleted or without a version if there is none
 	lateWrites sync.WaitGroup
+	// era counts how often the store has come back from a copy, and revision is its last
+	// one in this era. copiedObj and copiedRevision are the copy.
+	era, revision  uint64
+	copiedObj      core.Object
+	copiedRevision uint64
+}
+
+// takeCopy takes a copy of the store.
+func (s *store) takeCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copiedObj, s.copiedRevision = s.obj, s.revision
+}
+
+// restore brings the store back from the last copy.
+func (s *store) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.obj, s.revision = s.copiedObj, s.copiedRevision
+	if s.obj.Version != 0 {
+		s.obj.Version = core.NewVersion(s.era, core.Revision(s.obj.Version))
+	}
+}
+
+// client is the store as one contender reaches it. It knows the era that the last response
+// has named.
+type client struct {
+	*store
+	known atomic.Uint64
+}
+
+func (c *client) Era() uint64 { return c.known.Load() }
+
+// learn records the era of a response if it has arrived.
+func (c *client) learn(era *uint64, err error) {
+	if !errors.Is(err, errResponseLost) && *era > c.known.Load() {
+		c.known.Store(*era)
+	}
+}
+
+func (c *client) Get(ctx context.Context, _ core.Key) (core.Object, error) {
+	var era uint64
+	obj, err := c.call(ctx, func() (core.Object, error) {
+		era = c.era
+		if !c.exists() {
+			return core.Object{}, trace.NotFound("no lease")
+		}
+		return c.obj, nil
+	})
+	c.learn(&era, err)
+	return obj, err
+}
+
+func (c *client) Create(ctx context.Context, obj core.Object) (core.Object, error) {
+	var era uint64
+	written, err := c.call(ctx, func() (core.Object, error) {
+		era = c.era
+		if c.exists() {
+			return core.Object{}, trace.AlreadyExists("lease exists")
+		}
+		return c.put(obj), nil
+	})
+	c.learn(&era, err)
+	return written, err
+}
+
+// Update compares revisions without eras, as a store does, and then reports a change of the
+// era, as the adapter does.
+func (c *client) Update(ctx context.Context, obj core.Object) (core.Object, error) {
+	if known := c.Era(); core.Era(obj.Version) != known {
+		return core.Object{}, trace.CompareFailed("version of era %d in era %d", core.Era(obj.Version), known)
+	}
+	var era uint64
+	written, err := c.call(ctx, func() (core.Object, error) {
+		era = c.era
+		if !c.exists() || core.Revision(c.obj.Version) != core.Revision(obj.Version) {
+			return core.Object{}, trace.CompareFailed("version differs")
+		}
+		written := c.put(obj)
+		if era != core.Era(obj.Version) {
+			return core.Object{}, trace.CompareFailed("version of era %d in era %d", core.Era(obj.Version), era)
+		}
+		return written, nil
+	})
+	c.learn(&era, err)
+	return written, err
+}
+
+func (c *client) Delete(ctx context.Context, obj core.Object) (core.Object, error) {
+	obj.Deleted = true
+	return c.Update(ctx, obj)
 }
 
 var errResponseLost = trace.ConnectionProblem(nil, "response lost")
@@ -78,7 +172,8 @@
 func (s *store) exists() bool { return s.obj.Version != 0 && !s.obj.Deleted }
 
 func (s *store) put(obj core.Object) core.Object {
-	obj.Version = s.obj.Version + 1
+	s.revision++
+	obj.Version = core.NewVersion(s.era, s.revision)
 	s.obj = obj
 	return obj
 }
@@ -152,13 +247,15 @@
 
 // raceContenders subjects contenders to random faults and checks every 10 ms that
 // at most one holds the lease, and that each new holder has a higher token.
-func raceContenders(seed uint64, n int, faultRate float64, steps int) error {
+// With eras the store sometimes comes back from a copy.
+func raceContenders(seed uint64, n int, faultRate float64, steps int, eras bool) error {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	s := &store{rng: rand.New(rand.NewPCG(seed, 1)), faultRate: faultRate}
 	contenders := make([]contender, n)
 	start := func(i int) {
+		c := &client{store: s}
 		l := &lease.Lease{
-			Store: s, Name: "group", Holder: fmt.Sprint("entry-", i), TTL: ttl,
+			Store: c, Era: c.Era, Name: "group", Holder: fmt.Sprint("entry-", i), TTL: ttl,
 			Clock: &driftingClock{origin: time.Now(), rate: 0.96 + 0.08*rng.Float64(), store: s},
 		}
 		contenders[i] = contender{l, startContender(l)}
@@ -197,6 +294,12 @@
 	err := func() error {
 		for range steps {
 			setFaults(rng.Float64() < faultRate, faultRate)
+			if eras && rng.Float64() < 0.3 {
+				s.takeCopy()
+			}
+			if eras && rng.Float64() < 0.2 {
+				s.restore()
+			}
 			if i := rng.IntN(n); rng.Float64() < faultRate {
 				contenders[i].stop()
 				start(i)
@@ -235,7 +338,8 @@
 		faultRate := rapid.SampledFrom([]float64{0, 0.05, 0.2, 0.5}).Draw(rt, "faults")
 		steps := rapid.IntRange(1, 30).Draw(rt, "steps")
 		var err error
-		synctest.Test(t, func(*testing.T) { err = raceContenders(seed, n, faultRate, steps) })
+		eras := rapid.Bool().Draw(rt, "eras")
+		synctest.Test(t, func(*testing.T) { err = raceContenders(seed, n, faultRate, steps, eras) })
 		if err != nil {
 			rt.Fatal(err)
 		}
--- a/gate/process/ranks/leader.go
+++ b/gate/process/ranks/leader.go
@@ -45,6 +45,8 @@
 	// Fenced is set if the ranks refuse orders with an outdated token. A leader
 	// then continues after its term while the store is unreachable.
 	Fenced bool
+	// Era returns the latest era of the store that is known, see lease.Lease.
+	Era func() uint64
 	// Ended reports whether another contender's process is known to have ended.
 	Ended func(holder string) bool
 	// Alive reports whether another contender's process is known to run.
@@ -175,7 +177,7 @@
 			continue
 		}
 		lctx, cancel := context.WithCancel(ctx)
-		t := &lease.Lease{Store: l.Store, Name: leaseName, Holder: l.Holder, TTL: leaseTTL, RenewInterval: leaseRenewInterval, Ended: l.Ended, Alive: l.Alive}
+		t := &lease.Lease{Store: l.Store, Name: leaseName, Holder: l.Holder, TTL: leaseTTL, RenewInterval: leaseRenewInterval, Ended: l.Ended, Alive: l.Alive, Era: l.Era, Fenced: l.Fenced}
 		l.lease.Store(t)
 		done := make(chan struct{})
 		go func() {
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -180,7 +180,7 @@
 	g.leader = &ranks.Leader{
 		Ranks: g.ranks, Direct: workers,
 		Store: g.store, DecisionLog: g.DecisionLog, Holder: holderName(s.Instance, g.gossip.Incarnation),
-		Fenced: s.Fenced, Ended: g.hasEnded, Alive: g.isAlive,
+		Fenced: s.Fenced, Era: g.store.Era, Ended: g.hasEnded, Alive: g.isAlive,
 		GapShare: g.fleet.GapShare,
 		Contends: func() bool { return !g.draining.Load() && g.gossip.AmongLowestAddresses(maxContenders) },
 	}
