Follow a store that comes back from a copy

With the eras in versions the views follow the store, but took over what the copy had: an earlier configuration for a gate that starts, upstreams that have left, no upstreams and no zones out that came after the copy.

A view keeps the configuration with the highest version across eras, and tells its peers which one it has, so that a gate that starts has it as well. The entry of an upstream that was removed does not come back with the copy unless it was written again; one that is missing stays in use for 2.5 s, as after an outage; a zone that was out and is missing stays out for 10 s. Peers get all objects across eras. store_era is logged for each kind. A gate registers again, and the record of crashes is saved again.

--- a/gate/process/crash/saver.go
+++ b/gate/process/crash/saver.go
@@ -39,6 +39,9 @@
 	Instance string
 	// IsWriter reports whether this gate is the one that saves.
 	IsWriter func() bool
+	// Era returns the latest era of the store that is known; nil means that the store never
+	// comes back from a copy.
+	Era func() uint64
 	// OnLearn, if set, is called when crashes have been learned from the store.
 	OnLearn func()
 
@@ -55,8 +58,13 @@
 // ends.
 func (s *Saver) Run(ctx context.Context) {
 	loaded := false
+	var era uint64
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		if s.Era != nil && s.Era() != era {
+			// The record may be lost, or be an earlier one again.
+			era, loaded = s.Era(), false
+		}
 		var err error
 		switch {
 		case !loaded:
--- a/gate/process/policy/outage.go
+++ b/gate/process/policy/outage.go
@@ -12,9 +12,10 @@
 	leaseHeartbeats = 3
 	// heartbeatSpread is the fraction of an interval by which a write may be late.
 	heartbeatSpread = 0.1
-	// returnTime is how long after an outage the entries of running upstreams may still be
-	// missing. They are back within about two seconds.
-	returnTime = 2500 * time.Millisecond
+	// ReturnTime is how long after an outage of the store, or after it has come back from a
+	// copy, the entries of running upstreams may still be missing. They are back within
+	// about two seconds.
+	ReturnTime = 2500 * time.Millisecond
 )
 
 // StoreOutage decides from the calls to the store whether entries that are removed may have
@@ -74,7 +75,7 @@
 func (o *StoreOutage) Learn(now time.Time, lapse time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if end := now.Add(lapse - returnTime); lapse > 0 && end.After(o.end) {
+	if end := now.Add(lapse - ReturnTime); lapse > 0 && end.After(o.end) {
 		o.end = end
 	}
 }
@@ -85,10 +86,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.awaySince.IsZero() && now.Sub(o.awaySince) >= o.minAway() {
-		return returnTime
+		return ReturnTime
 	}
 	if o.end.IsZero() {
 		return 0
 	}
-	return max(0, o.end.Add(returnTime).Sub(now))
+	return max(0, o.end.Add(ReturnTime).Sub(now))
 }
--- a/gate/process/view/entries.go
+++ b/gate/process/view/entries.go
@@ -32,20 +32,27 @@
 			if entry := entries[id]; entry != nil && v.holds[id].entry == nil {
 				removed[id] = entry
 			}
+			v.recordRemoval(id)
 			continue
 		}
-		delete(v.holds, id)
 		entry, err := v.Decoder.ListedUpstream(id, o.Value)
+		if err == nil && v.lastEntries[id].hasLeft(entry, o.Version) {
+			// A copy of the store still has the entry.
+			meter.Event("entry_outdated")
+			v.DecisionLog.Log("entry_outdated", "upstream", id, "sequence", entry.Sequence, "known", v.lastEntries[id].entry.Sequence, "removed", true)
+			continue
+		}
+		delete(v.holds, id)
 		if err != nil {
 			meter.Event("entry_rejected")
 			v.DecisionLog.Log("entry_rejected", "upstream", id, "revision", o.Version, "error", err)
 			delete(entries, id)
 			continue
 		}
-		if last, ok := v.lastEntries[id]; ok && last.StartTime == entry.StartTime && entry.Sequence < last.Sequence {
+		if last, ok := v.lastEntries[id]; ok && last.entry.StartTime == entry.StartTime && entry.Sequence < last.entry.Sequence {
 			// A write of the upstream reached the store after a later one.
 			meter.Event("entry_outdated")
-			v.DecisionLog.Log("entry_outdated", "upstream", id, "sequence", entry.Sequence, "known", last.Sequence, "draining", entry.Draining)
+			v.DecisionLog.Log("entry_outdated", "upstream", id, "sequence", entry.Sequence, "known", last.entry.Sequence, "draining", entry.Draining)
 			continue
 		}
 		v.recordEntry(id, entry)
@@ -69,7 +76,29 @@
 	if len(v.lastEntries) >= maxLastEntries {
 		clear(v.lastEntries)
 	}
-	v.lastEntries[id] = entry
+	v.lastEntries[id] = lastEntry{entry: entry}
+}
+
+// lastEntry is the latest entry of an upstream. removed is set once it was removed, in the
+// given era of the store.
+type lastEntry struct {
+	entry   *core.ListedUpstream
+	removed bool
+	era     uint64
+}
+
+// recordRemoval records that the entry of an upstream was removed.
+func (v *View) recordRemoval(id string) {
+	if last, ok := v.lastEntries[id]; ok {
+		last.removed, last.era = true, v.kindStates[core.KindListedUpstream].era()
+		v.lastEntries[id] = last
+	}
+}
+
+// hasLeft reports whether an entry of the given version is no later than one that was
+// removed, and has come back with a copy of the store.
+func (l lastEntry) hasLeft(entry *core.ListedUpstream, version uint64) bool {
+	return l.removed && core.Era(version) > l.era && l.entry.StartTime == entry.StartTime && entry.Sequence <= l.entry.Sequence
 }
 
 // holdUntil returns the time until which an upstream stays in use after its entry
@@ -98,7 +127,7 @@
 	return now
 }
 
-// expireHolds removes the upstreams whose hold has ended.
+// expireHolds removes the upstreams whose hold has ended, and takes zones back.
 func (v *View) expireHolds(now time.Time) {
 	var expired []string
 	for id, h := range v.holds {
@@ -106,6 +135,13 @@
 			expired = append(expired, id)
 		}
 	}
+	for zone, until := range v.zoneHolds {
+		if now.After(until) {
+			delete(v.zoneHolds, zone)
+			v.applyZonesOut(now, nil, false)
+			v.publish()
+		}
+	}
 	if len(expired) == 0 {
 		return
 	}
--- a/gate/process/view/kind.go
+++ b/gate/process/view/kind.go
@@ -23,6 +23,9 @@
 	completeTo uint64
 	// synced is set once a complete list was applied.
 	synced bool
+	// content returns the number by which the content of an object is ordered, for a kind
+	// whose content must not go back when the store comes back from a copy; nil otherwise.
+	content func(o core.Object) uint64
 	// deletions holds the versions of deletions by object name. Deletions with
 	// versions up to compactedTo may be missing.
 	deletions   map[string]uint64
@@ -69,7 +72,7 @@
 		listed[o.Name] = true
 	}
 	for name, o := range k.objects {
-		if !listed[name] && o.Version <= revision {
+		if !listed[name] && o.Version <= revision && (k.content == nil || core.Era(o.Version) == core.Era(revision)) {
 			// The exact version of the deletion is unknown. It is at most revision.
 			k.recordDeletion(name, revision)
 			k.revision = max(k.revision, revision)
@@ -84,6 +87,17 @@
 	return changed
 }
 
+// replaces reports whether an object takes the place of the known one of the same name. The
+// content of a later era may be older.
+func (k *kindState) replaces(o, known core.Object) bool {
+	if k.content != nil && core.Era(o.Version) != core.Era(known.Version) {
+		if a, b := k.content(o), k.content(known); a != b {
+			return a > b
+		}
+	}
+	return o.Version > known.Version
+}
+
 // merge applies changes and returns the names of the changed objects.
 func (k *kindState) merge(objects []core.Object) []string {
 	return k.mergeUpTo(objects, math.MaxUint64)
@@ -101,22 +115,30 @@
 			continue
 		case o.Deleted && o.Version >= current.Version:
 			k.recordDeletion(o.Name, o.Version)
-		case !o.Deleted && (ok && o.Version > current.Version || !ok && !k.isDeleted(o.Name, o.Version)):
+		case !o.Deleted && (ok && k.replaces(o, current) || !ok && !k.isDeleted(o.Name, o.Version)):
 			k.objects[o.Name] = o
 		default:
 			continue
 		}
 		changed = append(changed, o.Name)
 	}
+	if len(changed) > 0 {
+		// The revision does not tell, if the configuration of an earlier era was taken.
+		k.packed = nil
+	}
 	return changed
 }
 
+// era returns the latest era of the store in which objects of the kind are known.
+func (k *kindState) era() uint64 { return core.Era(max(k.revision, k.completeTo)) }
+
 // delta returns the changes after the given revision, or all objects if the
-// deletions since then are not all known.
+// deletions since then are not all known, as they are not across eras.
 func (k *kindState) delta(since uint64) *wire.KindState {
-	s := &wire.KindState{Kind: string(k.kind), Revision: k.revision, Complete: since < k.compactedTo}
+	s := &wire.KindState{Kind: string(k.kind), Revision: k.revision, Complete: since < k.compactedTo || core.Era(since) != core.Era(k.revision)}
 	for _, name := range slices.Sorted(maps.Keys(k.objects)) {
-		if o := k.objects[name]; s.Complete || o.Version > since {
+		// A configuration that was kept from an earlier era has a lower version.
+		if o := k.objects[name]; s.Complete || o.Version > since || k.content != nil {
 			s.Objects = append(s.Objects, &wire.Object{Name: o.Name, Version: o.Version, Value: o.Value})
 		}
 	}
--- a/gate/process/view/pull.go
+++ b/gate/process/view/pull.go
@@ -34,14 +34,15 @@
 	v.enqueue(ctx, func() { v.pull(ctx, addr, known) })
 }
 
-// isAhead reports whether a has a later revision of any kind than b.
+// isAhead reports whether a has a later revision of any kind than b, or a later
+// configuration.
 func isAhead(a, b []*wire.KindRevision) bool {
-	revisions := map[string]uint64{}
+	known := map[string]*wire.KindRevision{}
 	for _, k := range b {
-		revisions[k.GetKind()] = k.GetRevision()
+		known[k.GetKind()] = k
 	}
 	for _, k := range a {
-		if k.GetRevision() > revisions[k.GetKind()] {
+		if other := known[k.GetKind()]; k.GetRevision() > other.GetRevision() || k.GetConfigVersion() > other.GetConfigVersion() {
 			return true
 		}
 	}
@@ -88,7 +89,8 @@
 	}
 	for _, s := range r.GetStates() {
 		k := v.kindStates[core.Kind(s.GetKind())]
-		if k == nil || s.GetRevision() <= k.revision {
+		// The content of the configuration decides across eras, see kindState.replaces.
+		if k == nil || s.GetRevision() <= k.revision && k.content == nil {
 			continue
 		}
 		bytes := proto.Size(s)
@@ -117,20 +119,22 @@
 
 // Pull returns the changes after the revisions in the request.
 func (s Server) Pull(ctx context.Context, r *wire.PullRequest) (*wire.PullResponse, error) {
-	known := map[string]uint64{}
+	known := map[string]*wire.KindRevision{}
 	for _, k := range r.GetKnown() {
-		known[k.GetKind()] = k.GetRevision()
+		known[k.GetKind()] = k
 	}
 	responses := make(chan *wire.PullResponse, 1)
 	s.View.enqueue(ctx, func() {
 		resp := &wire.PullResponse{LapseMs: uint32(s.View.outage.LapseTime(time.Now()).Milliseconds())}
 		for _, kind := range kinds {
-			if k := s.View.kindStates[kind]; k.synced && k.revision > known[string(kind)] {
+			k, since := s.View.kindStates[kind], known[string(kind)]
+			later := kind == core.KindConfig && s.View.current.Config != nil && s.View.current.Config.Version > since.GetConfigVersion()
+			if k.synced && (k.revision > since.GetRevision() || later) {
 				delta := k.delta
 				if r.GetPacked() {
 					delta = k.packedDelta
 				}
-				resp.States = append(resp.States, delta(known[string(kind)]))
+				resp.States = append(resp.States, delta(since.GetRevision()))
 			}
 		}
 		responses <- resp
--- a/gate/process/view/view.go
+++ b/gate/process/view/view.go
@@ -69,7 +69,12 @@
 	holds map[string]hold
 	// lastEntries holds the latest entry of each upstream by ID, including
 	// upstreams that are no longer in use.
-	lastEntries map[string]*core.ListedUpstream
+	lastEntries map[string]lastEntry
+	// zoneHolds holds the times until which zones stay out that the store has lost.
+	zoneHolds map[string]time.Time
+	// decoded is the configuration that was decoded last, from the object of that version.
+	decoded        *core.Config
+	decodedVersion uint64
 	// behindSince is the time at which a peer first reported a later revision.
 	behindSince time.Time
 	lastPull    time.Time
@@ -84,8 +89,10 @@
 		for _, k := range kinds {
 			v.kindStates[k] = &kindState{kind: k, objects: map[string]core.Object{}}
 		}
+		v.kindStates[core.KindConfig].content = v.configVersion
 		v.holds = map[string]hold{}
-		v.lastEntries = map[string]*core.ListedUpstream{}
+		v.lastEntries = map[string]lastEntry{}
+		v.zoneHolds = map[string]time.Time{}
 		v.current = State{Upstreams: map[string]*core.ListedUpstream{}, ZonesOut: map[string]bool{}}
 	})
 }
@@ -128,34 +135,86 @@
 func (v *View) apply(kind core.Kind, objects []core.Object, revision uint64, complete bool, source string, lapse time.Duration) {
 	k := v.kindStates[kind]
 	first, previous := !k.synced && complete, k.revision
+	now := time.Now()
+	former := k.era()
+	newEra := k.synced && core.Era(revision) > former
+	if newEra {
+		meter.Event("store_eras")
+		v.DecisionLog.Log("store_era", "kind", kind, "former", former, "era", core.Era(revision), "known", core.Revision(previous), "revision", core.Revision(revision), "source", source)
+		v.outage.Learn(now, policy.ReturnTime)
+		lapse = max(lapse, policy.ReturnTime)
+	}
 	var changed []string
 	if complete {
 		changed = k.replace(objects, revision)
 	} else {
 		changed = k.merge(objects)
 	}
-	if k.revision != previous || first {
-		v.publishRevisions()
-	}
+	defer func() {
+		if k.revision != previous || first || len(changed) > 0 && kind == core.KindConfig {
+			v.publishRevisions()
+		}
+	}()
 	if len(changed) == 0 && !first {
 		return
 	}
-	now := time.Now()
 	switch kind {
 	case core.KindConfig:
 		v.applyConfig(source)
 	case core.KindListedUpstream:
 		v.applyEntries(now, changed, lapse)
 	case core.KindZoneOut:
-		out := make(map[string]bool, len(k.objects))
-		for name := range k.objects {
-			out[name] = true
-		}
-		v.current.ZonesOut = out
+		v.applyZonesOut(now, changed, newEra)
 	}
 	v.publish()
 }
 
+// zoneHoldTime is how long a zone stays out that the store has lost: operators write again
+// what they had written.
+const zoneHoldTime = 10 * time.Second
+
+// applyZonesOut updates the zones out. Those that a new era of the store does not have stay
+// out for some time.
+func (v *View) applyZonesOut(now time.Time, changed []string, newEra bool) {
+	objects := v.kindStates[core.KindZoneOut].objects
+	for _, name := range changed {
+		if _, ok := objects[name]; !ok && newEra {
+			v.zoneHolds[name] = now.Add(zoneHoldTime)
+			v.DecisionLog.Log("zone_out_held", "zone", name, "hold", zoneHoldTime)
+			continue
+		}
+		delete(v.zoneHolds, name)
+	}
+	out := make(map[string]bool, len(objects))
+	for name := range objects {
+		out[name] = true
+	}
+	for name := range v.zoneHolds {
+		out[name] = true
+	}
+	v.current.ZonesOut = out
+}
+
+// configVersion returns the version of a configuration, zero if it cannot be decoded.
+func (v *View) configVersion(o core.Object) uint64 {
+	c, err := v.decodeConfig(o)
+	if err != nil {
+		return 0
+	}
+	return c.Version
+}
+
+func (v *View) decodeConfig(o core.Object) (*core.Config, error) {
+	if v.decoded != nil && v.decodedVersion == o.Version {
+		return v.decoded, nil
+	}
+	c, err := v.Decoder.Config(o.Value)
+	if err == nil {
+		v.decoded, v.decodedVersion = c, o.Version
+	}
+	return c, err
+}
+
 // applyConfig decodes the configuration and makes it the current one. It ignores
 // a configuration that is invalid or not newer than the current one.
 func (v *View) applyConfig(source string) {
@@ -164,7 +223,7 @@
 		return
 	}
 	start := time.Now()
-	c, err := v.Decoder.Config(o.Value)
+	c, err := v.decodeConfig(o)
 	if err != nil {
 		meter.Event("config_rejected")
 		v.DecisionLog.Log("config_rejected", "revision", o.Version, "error", err)
@@ -190,7 +249,11 @@
 func (v *View) publishRevisions() {
 	list := make([]*wire.KindRevision, 0, len(kinds))
 	for _, k := range kinds {
-		list = append(list, &wire.KindRevision{Kind: string(k), Revision: v.kindStates[k].revision})
+		known := &wire.KindRevision{Kind: string(k), Revision: v.kindStates[k].revision}
+		if k == core.KindConfig && v.current.Config != nil {
+			known.ConfigVersion = v.current.Config.Version
+		}
+		list = append(list, known)
 	}
 	v.knownRevisions.Store(&list)
 	if v.OnNewRevision != nil {
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -219,18 +219,32 @@
 
 // register writes this gate's address to the store and reads the addresses of
 // the other gates there, for gates whose seeds no longer run. It retries until
-// it succeeds.
+// it succeeds, and does so again once the store has come back from a copy, which may
+// not have the address.
 func (g *Gate) register(ctx context.Context) {
+	registered := false
+	var era uint64
 	for ctx.Err() == nil {
-		err := g.registerOnce(ctx)
-		if err == nil {
-			return
+		if known := g.storeEra(); !registered || known != era {
+			err := g.registerOnce(ctx)
+			if registered, era = err == nil, known; err != nil {
+				g.DecisionLog.Log("register_failed", "era", known, "error", err)
+			}
 		}
-		g.DecisionLog.Log("register_failed", "error", err)
 		_ = clock.Real{}.Sleep(ctx, registerRetryDelay)
 	}
 }
 
+// storeEra returns the latest era of the store that this gate or one that it follows has
+// seen.
+func (g *Gate) storeEra() uint64 {
+	era := g.store.Era()
+	for _, k := range g.view.KnownRevisions() {
+		era = max(era, core.Era(k.GetRevision()))
+	}
+	return era
+}
+
 func (g *Gate) registerOnce(ctx context.Context) error {
 	list, _, err := g.store.ListKind(ctx, core.KindInstance)
 	if err != nil {
--- a/gate/serve/gate.go
+++ b/gate/serve/gate.go
@@ -187,7 +187,7 @@
 	g.leader.SetGroups(nil)
 	g.crashes = &crash.Saver{
 		Store: g.store, Containment: &g.relay.Containment, DecisionLog: g.DecisionLog, Instance: s.Instance,
-		IsWriter: g.leader.Leading, OnLearn: g.gossip.Announce,
+		IsWriter: g.leader.Leading, Era: g.store.Era, OnLearn: g.gossip.Announce,
 	}
 	g.callers = &inlet.Server{
 		Listen: s.Callers, Handler: g.relay, MaxConnections: s.Files / filesPerConnection,
