--- a/fakes/soak/soak_test.go
+++ b/fakes/soak/soak_test.go
@@ -31,6 +31,8 @@
 	// recoveryTimeout is the time within which requests must be served again
 	// after the last fault.
 	recoveryTimeout = 12 * time.Second
+	// maxCopyAge is the age up to which the store comes back from a copy.
+	maxCopyAge = 5 * time.Second
 	// settlingTime is how long the store and a gate must have been free of faults
 	// before applyTime is required.
 	settlingTime = 3 * time.Second
@@ -127,7 +129,7 @@
 func (s *system) injectFault(rng *rand.Rand) {
 	g := s.gates[rng.IntN(len(s.gates))]
 	w := s.workers[rng.IntN(len(s.workers))]
-	switch rng.IntN(15) {
+	switch rng.IntN(17) {
 	case 0:
 		s.restartGate(g, syscall.SIGTERM, rng.IntN(3) == 0)
 	case 1:
@@ -158,6 +160,15 @@
 		w.SetLimit([]string{"", "2", "20", "1e999", "-1", "x"}[rng.IntN(6)])
 	case 13:
 		w.SetRetryAfter([]string{"", "0.4", "2", "0", "-3", "x"}[rng.IntN(6)])
+	case 15:
+		s.store.Copy()
+		s.copiedAt = time.Now()
+	case 16:
+		// The copy is some seconds old, and the operator and the workers write again.
+		if age := time.Since(s.copiedAt); age < maxCopyAge {
+			s.comeBack(time.Duration(rng.IntN(1000)) * time.Millisecond)
+			time.AfterFunc(time.Duration(rng.IntN(1500))*time.Millisecond, s.rewriteConfig)
+		}
 	case 14:
 		s.replaceLeaving(w, time.Duration(rng.IntN(2000))*time.Millisecond)
 	}
@@ -204,6 +215,7 @@
 		s.setLink(w, proxy.Fault{})
 	}
 	s.store.SetFaults(meta.Faults{})
+	s.rewriteConfig()
 	for _, g := range s.gates {
 		g.signal(syscall.SIGCONT)
 		if !g.running() {
--- a/fakes/soak/system_test.go
+++ b/fakes/soak/system_test.go
@@ -52,8 +52,13 @@
 	faults  *faultLevel
 	systemOptions
 
+	// copiedAt is the time of the store's last copy.
+	copiedAt time.Time
+
 	mu      sync.Mutex
 	version int
+	// config is the configuration of that version.
+	config map[string]any
 }
 
 // systemOptions holds what differs between the systems of tests.
@@ -160,23 +165,38 @@
 			})
 		}
 	}
-	s.store.Put("config", "main", site.Config(version, routes))
+	s.mu.Lock()
+	s.config = site.Config(version, routes)
+	s.mu.Unlock()
+	s.rewriteConfig()
+}
+
+// rewriteConfig writes the latest configuration, which the store may have lost.
+func (s *system) rewriteConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.Put("config", "main", s.config)
 }
 
 // writeEntries writes the entries of all workers.
 func (s *system) writeEntries() {
 	for _, w := range s.workers {
-		w.mu.Lock()
-		w.sequence++
-		state := "ready"
-		if !w.draining.IsZero() {
-			state = "draining"
-		}
-		entry := site.WorkerEntry(w.pool, w.addr, state, s.slots, w.sequence)
-		entry["born"] = 1 + w.restarts
-		w.mu.Unlock()
-		s.store.Put("servers", w.ID, entry)
+		s.writeEntry(w)
+	}
+}
+
+// writeEntry writes the entry of a worker.
+func (s *system) writeEntry(w *proxiedWorker) {
+	w.mu.Lock()
+	w.sequence++
+	state := "ready"
+	if !w.draining.IsZero() {
+		state = "draining"
 	}
+	entry := site.WorkerEntry(w.pool, w.addr, state, s.slots, w.sequence)
+	entry["born"] = 1 + w.restarts
+	w.mu.Unlock()
+	s.store.Put("servers", w.ID, entry)
 }
 
 func (g *gate) start(t *testing.T, dir string) {
