Set the faults of TestSwitchWithRealRanks before its coordinator starts

Cause: the coordinator makes its first six calls, those of the recovery, as soon as it starts, and the test set the calls at which faults are injected after that. On a busy machine these calls had been made by then.

--- a/core/version/commit/faults_test.go
+++ b/core/version/commit/faults_test.go
@@ -56,8 +56,10 @@
 	injected        int
 }
 
-func newFaultyGroup(t *testing.T, shape ranks.Shape) *faultyGroup {
-	s := &faultyGroup{group: &ranks.Group{Shape: shape, Settings: ranks.Settings{BaseMs: 0.2}}}
+// newFaultyGroup starts a group. Its coordinator makes its first calls at once, so that the
+// faults are known before.
+func newFaultyGroup(t *testing.T, shape ranks.Shape, injections ...injection) *faultyGroup {
+	s := &faultyGroup{group: &ranks.Group{Shape: shape, Settings: ranks.Settings{BaseMs: 0.2}}, injections: injections}
 	if err := s.group.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -247,10 +249,7 @@
 				t.Run(fmt.Sprintf("%d-%d-%t-%v", call, f, after, second), func(t *testing.T) {
 					t.Parallel()
 					g := NewWithT(t)
-					s := newFaultyGroup(t, shape)
-					s.mu.Lock()
-					s.injections = []injection{{call, after, f}, second}
-					s.mu.Unlock()
+					s := newFaultyGroup(t, shape, injection{call, after, f}, second)
 					m := func(epoch uint64) *core.ExpertMap {
 						m := shape.InitialMap()
 						m.Epoch = epoch
