--- a/fakes/system/load_test.go
+++ b/fakes/system/load_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -171,10 +172,25 @@
 // waitWarm waits until the upstreams have their full capacity.
 func (c *cluster) waitWarm(upstreams []*node) {
 	for _, a := range upstreams {
-		Eventually(func() int { return c.upstreamStats(a).Limit }, "30s", "50ms").Should(Equal(c.config.limit), a.name)
+		Eventually(func() int { return c.upstreamStats(a).Limit }, "30s", "50ms").Should(Equal(c.config.limit), func() string { return c.describe(upstreams) })
 	}
 }
 
+// describe returns what upstreams have done and what their agents have refused. The limit
+// of a stand-in grows with the requests that it completes.
+func (c *cluster) describe(upstreams []*node) string {
+	var b strings.Builder
+	for _, a := range upstreams {
+		var vars struct {
+			Events   map[string]int `json:"events"`
+			Refusals map[string]int `json:"refusals"`
+		}
+		c.getJSON(a.listen, "/debug/vars", &vars)
+		fmt.Fprintf(&b, "%s: upstream %+v, agent events %v, refusals %v\n", a.name, c.upstreamStats(a), vars.Events, vars.Refusals)
+	}
+	return b.String()
+}
+
 // refusals returns how often the agents have refused a request for the reason.
 func (c *cluster) refusals(agents []*node, reason string) int {
 	n := 0
