Do not take the first era that is seen for a new one

A gate also registered twice and read the record of crashes twice.

The first era is that of the first response.

--- a/core/process/lease/era_test.go
+++ b/core/process/lease/era_test.go
@@ -148,3 +148,32 @@
 	}
 	return c.Store.Update(ctx, obj)
 }
+
+// Guards against a contender that waits for the TTL in each later era, since it takes the
+// first era that it sees for a new one: at its start, and for a holder that has ended.
+func TestStartInLaterEra(t *testing.T) {
+	for _, former := range []bool{false, true} {
+		t.Run(fmt.Sprintf("former holder %t", former), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newEraStore()
+				s.restore()
+				if former {
+					s.put(core.Object{Writer: "gone/1"})
+				}
+				l := newEraLease(s, "a/1")
+				l.Fenced = true
+				l.Ended = func(holder string) bool { return strings.HasPrefix(holder, "gone/") }
+				defer startContender(l)()
+				time.Sleep(2 * time.Second)
+				if _, ok := l.Held(); ok != former {
+					t.Errorf("held %t after 2 s", ok)
+				}
+				// Without a lease, one that the store has lost may still be held.
+				time.Sleep(ttl)
+				if _, ok := l.Held(); !ok {
+					t.Error("not held after the TTL")
+				}
+			})
+		})
+	}
+}
--- a/core/process/lease/lease.go
+++ b/core/process/lease/lease.go
@@ -90,7 +90,8 @@
 	// sent.
 	pendingWrites map[string]pendingWrite
 	// era is the store's era that this process acts in, and eraSince the time since which it
-	// is known. eraChanged is set if this process has seen another era before.
+	// is known, zero before the first response. eraChanged is set if this process has seen
+	// another era before.
 	era        uint64
 	eraSince   time.Time
 	eraChanged bool
@@ -142,7 +143,9 @@
 	}
 	l.setDefaults()
 	for {
-		l.noticeEra()
+		if !l.eraSince.IsZero() {
+			l.noticeEra(nil)
+		}
 		wait := l.RenewInterval
 		if l.canSkipAttempt() {
 			wait /= checksPerRenewal
@@ -175,9 +178,10 @@
 	l.pendingWrites = map[string]pendingWrite{}
 }
 
-// noticeEra records the era of the store.
-func (l *Lease) noticeEra() {
-	if l.Era == nil {
+// noticeEra records the era of the store, after a call that ended with the given error. The
+// first era is that of the first response.
+func (l *Lease) noticeEra(err error) {
+	if l.Era == nil || l.eraSince.IsZero() && trace.IsConnectionProblem(err) {
 		return
 	}
 	era := l.Era()
@@ -232,7 +236,7 @@
 		return l.write(ctx, token, l.lastOwn.Version)
 	}
 	obj, err := l.readObject(ctx)
-	l.noticeEra()
+	l.noticeEra(err)
 	switch {
 	case trace.IsNotFound(err):
 		if !held && l.mayHaveLostHolder() {
@@ -312,7 +316,7 @@
 	writeCtx, cancel := context.WithTimeout(ctx, l.RenewInterval)
 	written, err := writeFunc(writeCtx, obj)
 	cancel()
-	l.noticeEra()
+	l.noticeEra(err)
 	if err == nil {
 		l.recordRead(written)
 		return nil
@@ -326,7 +330,7 @@
 	// mismatch may be due to an earlier write of this process whose response was
 	// lost. Reading the object resolves both cases.
 	current, readErr := l.readObject(ctx)
-	l.noticeEra()
+	l.noticeEra(readErr)
 	switch {
 	case trace.IsNotFound(readErr):
 		l.endTerm("the object was deleted")
--- a/gate/process/crash/saver.go
+++ b/gate/process/crash/saver.go
@@ -61,15 +61,17 @@
 	var era uint64
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		if s.Era != nil && s.Era() != era {
+		if loaded && s.Era != nil && s.Era() != era {
 			// The record may be lost, or be an earlier one again.
-			era, loaded = s.Era(), false
+			loaded = false
 		}
 		var err error
 		switch {
 		case !loaded:
 			err = s.load(ctx)
-			loaded = err == nil
+			if loaded = err == nil; s.Era != nil {
+				era = s.Era()
+			}
 		case s.IsWriter():
 			if err = s.save(ctx); trace.IsCompareFailed(err) || trace.IsAlreadyExists(err) {
 				loaded = false
--- a/gate/serve/control.go
+++ b/gate/serve/control.go
@@ -224,14 +224,21 @@
 func (g *Gate) register(ctx context.Context) {
 	registered := false
 	var era uint64
-	for ctx.Err() == nil {
-		if known := g.storeEra(); !registered || known != era {
-			err := g.registerOnce(ctx)
-			if registered, era = err == nil, known; err != nil {
-				g.DecisionLog.Log("register_failed", "era", known, "error", err)
-			}
+	for ; ctx.Err() == nil; _ = (clock.Real{}).Sleep(ctx, registerRetryDelay) {
+		known := g.storeEra()
+		if registered && known == era {
+			continue
+		}
+		if err := g.registerOnce(ctx); err != nil {
+			g.DecisionLog.Log("register_failed", "era", known, "error", err)
+			registered = false
+			continue
+		}
+		if era = known; !registered {
+			// The first responses have named the era.
+			era = g.storeEra()
 		}
-		_ = clock.Real{}.Sleep(ctx, registerRetryDelay)
+		registered = true
 	}
 }
 
