--- a/core/conn/rest/garbled_test.go
+++ b/core/conn/rest/garbled_test.go
@@ -14,70 +14,32 @@
 	. "github.com/onsi/gomega"
 
 	"parsleyroute.example/core/conn/rest"
+	"parsleyroute.example/core/suite/raw"
 )
 
-// startRaw starts a server that answers each request on a connection with the same bytes.
-func startRaw(t *testing.T, response string) netip.AddrPort {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				br := bufio.NewReader(c)
-				for {
-					req, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					if _, err := io.WriteString(c, response); err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return netip.MustParseAddrPort(ln.Addr().String())
-}
-
 // expectNoResponse checks that neither kind of client takes the bytes for a response.
-func expectNoResponse(t *testing.T, response string) {
+func expectNoResponse(t *testing.T, headers []string) {
 	t.Helper()
 	g := NewWithT(t)
-	addr := startRaw(t, response)
-	var c rest.Client
-	var out map[string]any
-	err := c.Call(t.Context(), addr, 2*time.Second, http.MethodGet, "/", nil, nil, &out)
-	g.Expect(trace.IsConnectionProblem(err)).To(BeTrue(), "%q: %v, %v", response, err, out)
-	h := http.Client{Transport: &rest.LimitedTransport{Transport: &http.Transport{}}, Timeout: 2 * time.Second}
-	if resp, err := h.Get("http://" + addr.String()); err == nil {
-		_ = resp.Body.Close()
-		t.Errorf("%q: net/http reads status %d, header %v", response, resp.StatusCode, resp.Header)
+	for _, header := range headers {
+		addr := raw.Start(t, raw.Write(header+"Content-Length: 2\r\n\r\n{}"))
+		var c rest.Client
+		var out map[string]any
+		err := c.Call(t.Context(), addr, 2*time.Second, http.MethodGet, "/", nil, nil, &out)
+		g.Expect(trace.IsConnectionProblem(err)).To(BeTrue(), "%q: %v, %v", header, err, out)
+		h := http.Client{Transport: &rest.LimitedTransport{Transport: &http.Transport{}}, Timeout: 2 * time.Second}
+		if resp, err := h.Get("http://" + addr.String()); err == nil {
+			_ = resp.Body.Close()
+			t.Errorf("%q: net/http reads status %d, header %v", header, resp.StatusCode, resp.Header)
+		}
 	}
 }
 
 // Guards against a store, a rank or a peer whose bytes with status 000 count as success.
-func TestStatusOutOfRange(t *testing.T) {
-	for _, status := range []string{"000 ", "000 OK", "099 x", "600 x"} {
-		expectNoResponse(t, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\n{}")
-	}
-}
+func TestStatusOutOfRange(t *testing.T) { expectNoResponse(t, raw.BadStatus) }
 
 // Guards against a response in whose header a field name has blanks or control bytes.
-func TestFieldNames(t *testing.T) {
-	for _, line := range []string{"X Trace: 1", "X : 1", "X\x01Y: 1", "Content-Length : 1"} {
-		expectNoResponse(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 2\r\n\r\n{}")
-	}
-}
+func TestFieldNames(t *testing.T) { expectNoResponse(t, raw.BadFields) }
 
 // Guards against bytes after a response that are taken for the response to the next call.
 func TestSecondResponse(t *testing.T) {
@@ -144,7 +106,7 @@
 // Guards against unused connections that stay open, and against calls that share one.
 func TestConnectionsAreReused(t *testing.T) {
 	g := NewWithT(t)
-	addr := startRaw(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+	addr := raw.Start(t, raw.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
 	var c rest.Client
 	done := make(chan error, 20)
 	for range 20 {
--- a/fakes/soak/endless_test.go
+++ b/fakes/soak/endless_test.go
@@ -22,6 +22,7 @@
 
 	"parsleyroute.example/core"
 	"parsleyroute.example/core/process/side"
+	"parsleyroute.example/core/suite/raw"
 	"parsleyroute.example/fakes/process/ports"
 	"parsleyroute.example/fakes/process/site"
 	"parsleyroute.example/fakes/process/worker"
@@ -286,25 +287,9 @@
 // end.
 func startEndless(t *testing.T, header, repeated string) netip.AddrPort {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, header)
-					writeEndless(c, repeated, 40<<20)
-				}
-			}()
-		}
-	}()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	return raw.Start(t, func(c net.Conn) error {
+		_, _ = io.WriteString(c, header)
+		writeEndless(c, repeated, 40<<20)
+		return io.EOF
+	})
 }
