--- a/core/suite/memory/store.go
+++ b/core/suite/memory/store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"sync"
@@ -54,6 +55,9 @@
 	revision uint64
 	kinds    map[core.Kind]*collection
 	changed  chan struct{}
+	// copied and copiedRevision are the live objects of the last copy, and its revision.
+	copied         map[core.Kind]map[string]core.Object
+	copiedRevision uint64
 }
 
 // collection holds the objects of one kind.
@@ -223,6 +227,35 @@
 	return s.revision
 }
 
+// Copy takes a copy of the store.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied, s.copiedRevision = map[core.Kind]map[string]core.Object{}, s.revision
+	for kind, c := range s.kinds {
+		s.copied[kind] = maps.Clone(c.live)
+	}
+}
+
+// Restore brings the store back from the last copy, in the next era (see core.NewVersion).
+// All else that it has acknowledged is lost.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := core.Era(s.revision) + 1
+	s.revision = core.NewVersion(era, core.Revision(s.copiedRevision))
+	s.kinds = map[core.Kind]*collection{}
+	for kind, live := range s.copied {
+		c := s.collection(kind)
+		c.droppedVersion = s.revision
+		for name, obj := range live {
+			obj.Version = core.NewVersion(era, core.Revision(obj.Version))
+			c.live[name] = obj
+		}
+	}
+	s.notifyWatches()
+}
+
 // CompactHistory drops all changes from the history, so that watches from older
 // revisions fail.
 func (s *Store) CompactHistory() {
--- a/gate/process/ranks/schedule_test.go
+++ b/gate/process/ranks/schedule_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +23,8 @@
 
 // schedule is a simulated run of several gates that balance one group. It runs in the
 // virtual time of synctest. Its seed decides which orders are lost or take effect late,
-// which gates freeze or end and when, when there is no traffic and when the group re-forms.
+// which gates freeze or end and when, when there is no traffic, when the group re-forms and
+// when the store comes back from a copy.
 type schedule struct {
 	seed  uint64
 	group *simGroup
@@ -95,6 +97,7 @@
 	// process counts the processes of the machine, and end ends the present one.
 	process int
 	end     context.CancelFunc
+	leader  *Leader
 }
 
 // await returns once the machine does not stand still.
@@ -162,8 +165,9 @@
 			return holders(holder, func(n *scheduledNode, former bool) bool { return !former && !n.isSilent(300*time.Millisecond) })
 		},
 		GapShare: func(string) float64 { return 1 },
-		Contends: n.contending,
+		Contends: n.contending, Era: p.era.Load,
 	}
+	n.leader = l
 	l.SetGroups(map[string]*GroupSpec{"g": s.spec})
 	go l.Run(ctx)
 }
@@ -173,6 +177,8 @@
 	node   *scheduledNode
 	number int
 	ctx    context.Context
+	// era is the store's era that the last response has named.
+	era atomic.Uint64
 }
 
 var errEnded = trace.CompareFailed("the process has ended")
@@ -241,7 +247,7 @@
 
 // rate returns how often a fault occurs in this run.
 func (s *schedule) rate(fault string) float64 {
-	levels := map[string][]float64{"late": {0, 0.1, 0.35}, "lost": {0, 0.05, 0.2}, "freeze": {0.02, 0.06, 0.15}, "direct": {0, 0.1, 0.4}}[fault]
+	levels := map[string][]float64{"late": {0, 0.1, 0.35}, "lost": {0, 0.05, 0.2}, "freeze": {0.02, 0.06, 0.15}, "direct": {0, 0.1, 0.4}, "restore": {0, 0, 0.05}}[fault]
 	return levels[int(s.draw("rate", fault)*float64(len(levels)))]
 }
 
@@ -301,9 +307,11 @@
 		return core.Object{}, trace.ConnectionProblem(err, "ended")
 	}
 	o, err := f()
+	era := core.Era(s.Store.Revision())
 	if lost := s.process.back(ctx, key...); lost != nil {
 		return core.Object{}, trace.ConnectionProblem(lost, "no response")
 	}
+	s.process.era.Store(max(s.process.era.Load(), era))
 	return o, err
 }
 
@@ -371,11 +379,17 @@
 		if s.draw("reform", n) < 0.04 {
 			s.group.reform()
 		}
+		if s.draw("copy", n) < 0.3 {
+			s.store.Copy()
+		}
+		if s.draw("restore", n) < s.rate("restore") {
+			s.store.Restore()
+		}
 	}
 }
 
 // runSchedule runs the schedule with the given seed and returns the group.
-func runSchedule(seed uint64) (violation string, mixed, mixedAtEnd int, stands bool) {
+func runSchedule(seed uint64) (violation string, mixed, mixedAtEnd int, stands, led bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &schedule{
 		seed: seed, group: newSimGroup(seed, scheduledRanks, 0), store: &memory.Store{}, ctx: ctx, calls: map[string]int{},
@@ -418,10 +432,14 @@
 	s.group.mu.Lock()
 	violation, mixed, mixedAtEnd, stands = s.group.violation, s.group.mixed, s.group.mixed-wasMixed, s.group.passes-passes < 50
 	s.group.mu.Unlock()
+	for _, n := range s.nodes {
+		token, ok := n.leader.leaderToken()
+		led = led || ok && core.Era(token) == core.Era(s.store.Revision())
+	}
 	cancel()
 	// All goroutines end within the longest time of an order or a freeze.
 	time.Sleep(scheduledRest)
-	return violation, mixed, mixedAtEnd, stands
+	return violation, mixed, mixedAtEnd, stands, led
 }
 
 // failedSchedules lists seeds that have failed, 6673 in some runs only: it also failed since
@@ -431,7 +449,8 @@
 
 // Guards against a pass that uses different maps on different ranks, whatever the order in
 // which leaders, contenders that recover a switch, late orders, frozen and restarted gates
-// and new epochs meet, and against a group that stands or differs for good. SCHEDULE_FROM
+// and new epochs meet, and against a group that stands, differs or has no leader for good,
+// also if the store has lost its lease. SCHEDULE_FROM
 // and SCHEDULE_SEEDS choose other seeds.
 func TestSchedules(t *testing.T) {
 	from, _ := strconv.Atoi(os.Getenv("SCHEDULE_FROM"))
@@ -448,9 +467,10 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				violation, mixed, atEnd, stands := runSchedule(seed)
+				violation, mixed, atEnd, stands, led := runSchedule(seed)
 				g.Expect(violation).To(BeEmpty(), "%d passes, %d of them in the last second", mixed, atEnd)
 				g.Expect(stands).To(BeFalse(), "the group runs no more passes")
+				g.Expect(led).To(BeTrue(), "no gate leads with a token of the store's era")
 			})
 		})
 	}
