Do not plan a map from parts of two others

Since ranks that differ are unified, reading the placement of a group whose ranks use different maps is no error any more. A leader that reads the placement while a switch of another leader or contender takes effect took such a mixture for the placement in use, with version zero, and planned the next map from it.

readPlacement reports whether all ranks use the same map. A round that finds they do not leaves the placement unread and looks again in the next round; unify does nothing if the ranks agree by then.

--- a/gate/process/ranks/recover.go
+++ b/gate/process/ranks/recover.go
@@ -152,7 +152,7 @@
 // if all ranks are armed.
 func (g *group) replaceSwitch(ctx context.Context, u *unfinishedSwitch) (uint64, error) {
 	if g.placement == nil {
-		if err := g.readPlacement(ctx); err != nil {
+		if _, err := g.readPlacement(ctx); err != nil {
 			return 0, err
 		}
 	}
--- a/gate/process/ranks/recover_test.go
+++ b/gate/process/ranks/recover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -206,3 +207,32 @@
 	}
 	g.Expect(group.token).To(BeNumerically("<", 1<<53))
 }
+
+// mixedPlacement is the client of a leader that reads the placement while a switch takes
+// effect: rank 1 has the next map already.
+type mixedPlacement struct{ *simClient }
+
+func (c *mixedPlacement) Placement(ctx context.Context, rank core.RankAddr) (uint64, [][]int, error) {
+	version, sets, err := c.simClient.Placement(ctx, rank)
+	if rank.Engine.Port() == 1 {
+		version = 7
+	}
+	return version, sets, err
+}
+
+// Guards against a map that is planned from parts of two others.
+func TestPlacementDuringSwitch(t *testing.T) {
+	g := NewWithT(t)
+	s := newSimGroup(1, 4, 0)
+	client := &simClient{simGroup: s, freezeAt: math.MaxInt32}
+	leader := s.newGroup(client, 9, 50)
+	leader.ranks, leader.placement, leader.gapShare = &mixedPlacement{client}, nil, 1
+	leader.spec.Engine.ExpertShare = 0.9
+	leader.load, leader.loadDuration = core.ExpertLoad{{1000, 1, 1, 1}}, time.Minute
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := leader.runRound(ctx)
+	g.Expect(client.orders.Load()).To(BeZero())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(leader.placement).To(BeNil())
+}
--- a/gate/process/ranks/round.go
+++ b/gate/process/ranks/round.go
@@ -100,10 +100,16 @@
 		return nil
 	}
 	if g.placement == nil || reports[0].Map != g.version {
-		if err := g.readPlacement(ctx); err != nil {
+		uniform, err := g.readPlacement(ctx)
+		if err != nil {
 			// "learn" stands for reading the placement in use from the ranks.
 			return trace.Wrap(err, "learn")
 		}
+		if !uniform {
+			// A switch of another leader or contender takes effect.
+			g.placement = nil
+			return nil
+		}
 	}
 	return g.rebalance(ctx)
 }
@@ -181,18 +187,22 @@
 // unify switches ranks that use different maps to one version. Each rank keeps the experts
 // that it holds, so that nothing is copied unless no rank holds an expert.
 func (g *group) unify(ctx context.Context) error {
-	if err := g.readPlacement(ctx); err != nil {
+	uniform, err := g.readPlacement(ctx)
+	if err != nil {
 		return trace.Wrap(err, "learn")
 	}
+	if uniform {
+		return nil
+	}
 	g.decisionLog.Log("maps_differ", "group", g.spec.Name, "epoch", g.epoch, "maps", fmt.Sprint(g.differentMaps), "token", g.token)
 	meter.Event("maps_differ")
 	g.differentRounds, g.differentMaps = 0, nil
 	return g.switchTo(ctx, g.placement)
 }
 
-// readPlacement reads the experts that each rank holds. If the ranks use different maps,
-// the version of the placement is zero, and experts that no rank holds are added to it.
-func (g *group) readPlacement(ctx context.Context) error {
+// readPlacement reads the experts that each rank holds, and reports whether all ranks use
+// the same map. If they do not, experts that no rank holds are added to the placement.
+func (g *group) readPlacement(ctx context.Context) (uniform bool, err error) {
 	e := &g.spec.Engine
 	placement := make(expert.Placement, e.LayerSets)
 	for s := range placement {
@@ -218,21 +228,14 @@
 		}
 		return nil
 	}); err != nil {
-		return err
-	}
-	g.version = versions[0]
-	for _, v := range versions {
-		if v != versions[0] {
-			g.version = 0
-		}
+		return false, err
 	}
-	complete, err := placement.Complete(e.Experts, e.SlotsPerRank, e.MaxNewExperts)
-	if err != nil {
-		return err
+	if placement, err = placement.Complete(e.Experts, e.SlotsPerRank, e.MaxNewExperts); err != nil {
+		return false, err
 	}
-	g.placement = complete
+	g.version, g.placement = versions[0], placement
 	g.decisionLog.Log("map_learned", "group", g.spec.Name, "epoch", g.epoch, "map", g.version)
-	return nil
+	return !slices.ContainsFunc(versions, func(v uint64) bool { return v != versions[0] }), nil
 }
 
 // checkPlacement reports a placement of a rank that lists an expert that does not
