Do not count a lack of memory here against an upstream

A standby attempt whose events found no room in this gate's memory ended with the outcome of a failed upstream. It ends inconclusive now.

--- a/fakes/process/ports/ports.go
+++ b/fakes/process/ports/ports.go
@@ -18,10 +18,10 @@
 	port int
 }{port: first}
 
-// Next returns an address that no other call, in this or another process, has returned
-// before. Each process has an IP address of its own in the loopback network, so that no
-// socket has to be opened to find a free port: a process that is being started holds a copy
-// of it until it runs its own program, and the port would still be in use.
+// Next returns an address that no other process returns, and this one only once all ports
+// have been returned. Each process has an IP address of its own in the loopback network, so
+// that no socket has to be opened to find a free port: a process that is being started holds
+// a copy of it until it runs its own program, and the port would still be in use.
 func Next() netip.AddrPort {
 	allocated.Lock()
 	defer allocated.Unlock()
--- a/gate/request/relay/standby.go
+++ b/gate/request/relay/standby.go
@@ -187,9 +187,12 @@
 		case err != nil:
 			return attemptResult{status: attemptLost, outcome: lostOutcome(s.ctx), err: err}
 		}
-		if size += len(e.Raw); size > event.MaxSize || !s.transaction.reserve(len(e.Raw)) {
+		if size += len(e.Raw); size > event.MaxSize {
 			break
 		}
+		if !s.transaction.reserve(len(e.Raw)) {
+			return attemptResult{status: attemptFailed, outcome: fleet.Inconclusive, err: trace.LimitExceeded("no memory is left for the events of a standby")}
+		}
 		e.Raw = slices.Clone(e.Raw)
 		s.events.pending = append(s.events.pending, e)
 		if e.HasData && !s.position.repeats(e) {
