Try a contained part with a request without other suspect parts

Callers saw up to twice as many refusals of healthy prompts as a crash allows: once the refusals of a part had cost as much as a crash, the next request with the part was the trial, also if it had the part that does crash upstreams. Its crash was counted against both, and the healthy part was refused for twice as long.

Change: a request with another part that has crashed upstreams, or that none has responded to yet, is only tried after twice the refusals. Of causes that contain a request for equally long, the one of fewer parts is tried, since its result says more.

TestTrialWithoutOtherSuspect failed in all four cases before and passes. 150,000 draws of random traffic, half of them with up to 5 shared parts: 10 broke the bound before, none now.

--- a/gate/process/policy/containment.go
+++ b/gate/process/policy/containment.go
@@ -372,7 +372,12 @@
 	}
 	var verdict Verdict
 	for _, k := range c.causes {
-		if until := k.lastCrash.Add(k.containmentTime()); containsAll(r.Parts, k.parts) && until.After(verdict.Until) {
+		if !containsAll(r.Parts, k.parts) {
+			continue
+		}
+		until := k.lastCrash.Add(k.containmentTime())
+		isSmaller := until.Equal(verdict.Until) && len(k.parts) < len(verdict.cause.parts)
+		if until.After(verdict.Until) || isSmaller {
 			verdict = Verdict{Contained: true, Until: until, Part: k.parts[0], Outages: k.outages, cause: k}
 		}
 	}
@@ -383,15 +388,16 @@
 	if !r.Returned {
 		t.refused++
 	}
-	if c.isTrialDue(now, t, verdict, p) {
+	if c.isTrialDue(now, t, verdict, r, p) {
 		t.at, t.since, t.refused, t.requestsBefore = now, now, 0, c.requests
 		verdict.Contained, verdict.Trial = false, true
 	}
 	return verdict
 }
 
-// isTrialDue reports whether this gate may try the part of a verdict now.
-func (c *Containment) isTrialDue(now time.Time, t *trial, v Verdict, p Position) bool {
+// isTrialDue reports whether this gate may try the part of a verdict now, with the given
+// request.
+func (c *Containment) isTrialDue(now time.Time, t *trial, v Verdict, r Request, p Position) bool {
 	if now.Sub(t.at) < trialSlot {
 		return false
 	}
@@ -400,8 +406,21 @@
 	if r := c.trials[v.cause.rival]; r != nil && r.refused >= rivalFactor*max(1, t.refused) {
 		return true
 	}
-	isDue := !now.Before(v.Until) || c.refusedTime(now, t) >= outageTime<<min(v.Outages-1, maxDoublings)
-	return isDue && p.isTurn(now.Sub(v.cause.lastCrash))
+	if !p.isTurn(now.Sub(v.cause.lastCrash)) {
+		return false
+	}
+	refused, limit := c.refusedTime(now, t), outageTime<<min(v.Outages-1, maxDoublings)
+	// A crash on a request that has another suspect part too would speak against both.
+	// Requests without one have time to come first.
+	return !now.Before(v.Until) || refused >= 2*limit || refused >= limit && !c.hasOtherSuspect(r, v.cause)
+}
+
+// hasOtherSuspect reports whether a request has a part, apart from those of the given cause,
+// to which no upstream has responded since a crash on it, or ever.
+func (c *Containment) hasOtherSuspect(r Request, k cause) bool {
+	return slices.ContainsFunc(r.Parts, func(p uint64) bool {
+		return !slices.Contains(k.parts, p) && !c.lastSuccess(p).After(c.lastCrash(p))
+	})
 }
 
 // trialOf returns what this gate has done about a suspect part since its last crash.
