--- a/gate/process/policy/containment.go
+++ b/gate/process/policy/containment.go
@@ -403,7 +403,7 @@
 	}
 	// A part that upstreams have not responded to because few requests have it is told
 	// from one that is new and frequent, and tried first.
-	if r := c.trials[v.cause.rival]; r != nil && r.refused >= rivalFactor*max(1, t.refused) {
+	if rival := c.trials[v.cause.rival]; rival != nil && rival.refused >= rivalFactor*max(1, t.refused) {
 		return true
 	}
 	if !p.isTurn(now.Sub(v.cause.lastCrash)) {
