--- a/review/12/main.go
+++ b/review/12/main.go
@@ -20,8 +20,8 @@
 	downFor   = 4500 * time.Millisecond
 	coldFor   = 3000 * time.Millisecond
 	host      = "desk.example"
-	// A cold worker crashes at twice the bound of the rule.
-	crashFactor = 2
+	// A cold worker crashes at three times the rate that it bears.
+	crashFactor = 3
 )
 
 var limit = int(coldPerS*overshoot + slack)
@@ -75,7 +75,7 @@
 			if n > 0 {
 				rec.Log("cold worker %s gets request %s, %d in the last second", c.W.ID, r.ID, n)
 			}
-			if n >= crashFactor*limit {
+			if n >= crashFactor*coldPerS {
 				cold.mu.Lock()
 				first := !cold.crashed
 				cold.crashed = true
@@ -127,7 +127,7 @@
 		}
 	}
 
-	// Clients: some 135 deposits a second, 45 for each worker.
+	// Clients: some 90 deposits a second, 30 for each worker.
 	const clientCount = 80
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
@@ -137,12 +137,12 @@
 		clients.Go(func() {
 			g := gates[i%len(gates)]
 			var c *stand.Client
-			time.Sleep(time.Duration(i) * 530 * time.Millisecond / clientCount)
+			time.Sleep(time.Duration(i) * 830 * time.Millisecond / clientCount)
 			for n := 0; ; n++ {
 				select {
 				case <-stop:
 					return
-				case <-time.After(530 * time.Millisecond):
+				case <-time.After(830 * time.Millisecond):
 				}
 				if c == nil {
 					if c, _ = stand.Dial(g.Callers); c == nil {
